--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,333 @@
+//! Users' requests: a core that decides each answer from the cache, after a read-index sync or a
+//! commit where the answer needs one.
+
+use crate::constants::*;
+use crate::http::{Method, Request, Response};
+use crate::ids::{Amount, JobId};
+use crate::jobs::{self, Job};
+use crate::settings::Settings;
+use crate::state::{Item, Origin, Outcome, Rank, StateCore};
+use crate::wire::{self, Flavor, JobName, JobSpec, JobStatus, JobView, Shape};
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Where a request goes.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Route {
+    Up,
+    Hello,
+    Submit,
+    Poll(JobId),
+    Abort(JobId),
+    Unknown,
+    WrongMethod,
+}
+
+pub fn route(request: &Request) -> Route {
+    let path = request.target.split('?').next().unwrap_or("");
+    let want = |method, route| if request.method == method { route } else { Route::WrongMethod };
+    match path {
+        "/up" => want(Method::Get, Route::Up),
+        "/hello" => want(Method::Post, Route::Hello),
+        "/api/jobs" => want(Method::Post, Route::Submit),
+        _ => match path.strip_prefix("/api/jobs/") {
+            Some(rest) => match rest.split_once('/') {
+                None if valid_id(rest) => want(Method::Get, Route::Poll(JobId::new(rest))),
+                Some((id, "abort")) if valid_id(id) => {
+                    want(Method::Post, Route::Abort(JobId::new(id)))
+                }
+                _ => Route::Unknown,
+            },
+            None => Route::Unknown,
+        },
+    }
+}
+
+/// PROTOCOL: ids are always in the form `wk-000412`.
+pub fn valid_id(id: &str) -> bool {
+    id.strip_prefix("wk-").is_some_and(|rest| {
+        (1..=40).contains(&rest.len()) && rest.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+/// Bytes. Names in a submission; far beyond any in use, and small enough for a record's value.
+const TEXT_MAX: usize = 200;
+
+fn well_formed(spec: &JobSpec) -> bool {
+    let text = |s: &str| !s.is_empty() && s.len() <= TEXT_MAX;
+    let amount = |x: f64| x.is_finite() && (0.0..1e9).contains(&x);
+    valid_id(spec.id.as_str())
+        && text(&spec.class)
+        && text(&spec.team)
+        && spec.image.len() <= TEXT_MAX
+        && (1..=LEGS_MAX).contains(&spec.tasks)
+        && [spec.cpus, spec.gpus, spec.ram_gb, spec.image_gb, spec.expect_s]
+            .into_iter()
+            .chain([spec.checkpoint_s, spec.save_s, spec.due_s.unwrap_or(0.0)])
+            .all(amount)
+        && spec.flavors.as_ref().is_none_or(|list| list.len() <= 32 && list.iter().all(|f| text(f)))
+        && spec.zone.as_ref().is_none_or(|zone| text(zone))
+}
+
+/// Whether the job can never run.
+fn impossible(spec: &JobSpec, settings: &Settings, flavors: &[Flavor]) -> bool {
+    let params = &settings.platform.params;
+    let Some(team) = params.teams.iter().find(|team| team.name == spec.team) else { return true };
+    let need = Amount::need(spec.cpus, spec.gpus, spec.ram_gb);
+    let at_once = match spec.shape {
+        Shape::Array => 1,
+        Shape::Service => spec.tasks,
+    };
+    if !need.times(at_once).fits(&team.most()) {
+        return true;
+    }
+    if spec.zone.as_ref().is_some_and(|zone| !params.zones.contains(zone)) {
+        return true;
+    }
+    // A job whose tasks must share a zone and may not can't run at all, unless there is one.
+    if spec.spread && spec.tasks > 1 && (spec.one_zone || spec.zone.is_some()) {
+        return spec.shape == Shape::Service;
+    }
+    !flavors.iter().any(|flavor| {
+        spec.flavors.as_ref().is_none_or(|list| list.contains(&flavor.name))
+            && spec.zone.as_ref().is_none_or(|zone| flavor.zones.contains(zone))
+            && need.fits(&Amount::room(flavor.cpus, flavor.gpus, flavor.ram_gb))
+    })
+}
+
+#[derive(Debug)]
+enum Wish {
+    Submit(Arc<JobSpec>),
+    /// A submission that is malformed but names a job: a known one is never told 400.
+    Broken(JobId),
+    Poll(JobId),
+    Abort(JobId),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    wish: Wish,
+    deadline: Instant,
+    since: Instant,
+}
+
+pub struct Api {
+    settings: Arc<Settings>,
+    waiting: HashMap<u64, Waiting>,
+    /// Tasks that run, by job, as the leader last told.
+    pub running: HashMap<JobId, u32>,
+    /// Jobs that this process told users to be cancelled, and when: a leader that is cut off
+    /// from the store learns them over the mesh.
+    pub cancelled: Vec<(JobId, Instant)>,
+    pub latency_ms: hdrhistogram::Histogram<u64>,
+    pub refused: u64,
+}
+
+pub type Answer = (u64, Response);
+
+impl Api {
+    pub fn new(settings: Arc<Settings>) -> Option<Api> {
+        Some(Api {
+            settings,
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            cancelled: Vec::new(),
+            latency_ms: hdrhistogram::Histogram::new_with_bounds(1, 60_000, 2).ok()?,
+            refused: 0,
+        })
+    }
+
+    fn view(&self, id: &JobId, job: &Job, status: u16) -> Response {
+        let view = match (job.over(), job.live()) {
+            (Some((status, done)), _) => JobView { id: id.clone(), status, done, running: 0 },
+            (None, live) => {
+                let running = u64::from(self.running.get(id).copied().unwrap_or(0));
+                let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
+                let done = live.map_or(0, |live| live.done_count());
+                JobView { id: id.clone(), status, done, running }
+            }
+        };
+        Response::with(status, wire::encode(&view))
+    }
+
+    fn later(&mut self) -> Response {
+        self.refused += 1;
+        Response::later(503)
+    }
+
+    /// Takes a request in; an answer that needs nothing more comes back at once.
+    pub fn on_request(
+        &mut self,
+        ticket: u64,
+        route: Route,
+        body: &[u8],
+        state: &mut StateCore,
+        now: Instant,
+    ) -> Option<Response> {
+        let wish = match route {
+            Route::Poll(id) => Wish::Poll(id),
+            Route::Abort(id) => Wish::Abort(id),
+            _ => match wire::decode::<JobSpec>(body) {
+                Ok(spec) if well_formed(&spec) => Wish::Submit(Arc::new(spec)),
+                _ => match wire::decode::<JobName>(body) {
+                    Ok(name) if valid_id(name.id.as_str()) => Wish::Broken(name.id),
+                    _ => return Some(Response::empty(400)),
+                },
+            },
+        };
+        if !state.cache.loaded {
+            return Some(self.later());
+        }
+        let id = match &wish {
+            Wish::Submit(spec) => &spec.id,
+            Wish::Broken(id) | Wish::Poll(id) | Wish::Abort(id) => id,
+        };
+        // A final state never changes, so the cache may answer.
+        if let Some(job) = state.cache.jobs.get(id)
+            && job.over().is_some()
+        {
+            return Some(self.view(id, job, 200));
+        }
+        if state.lost(now) || self.waiting.len() >= USER_QUEUE_MAX {
+            return Some(self.later());
+        }
+        let deadline = match wish {
+            Wish::Submit(_) | Wish::Abort(_) => now + CHANGE_DEADLINE,
+            _ => now + USER_DEADLINE,
+        };
+        let known = state.cache.jobs.get(id).is_some();
+        // A change goes to the store at once: its guard finds out whether the cache was old.
+        let direct = match &wish {
+            Wish::Submit(_) => !known,
+            Wish::Abort(_) => known,
+            _ => false,
+        };
+        self.waiting.insert(ticket, Waiting { wish, deadline, since: now });
+        if direct { self.act(ticket, false, state) } else { self.sync(ticket, state) }
+    }
+
+    fn sync(&self, ticket: u64, state: &mut StateCore) -> Option<Response> {
+        state.sync(ticket);
+        None
+    }
+
+    /// Answers, or commits, by what the cache says; `fresh` if it was synced for this request.
+    fn act(&mut self, ticket: u64, fresh: bool, state: &mut StateCore) -> Option<Response> {
+        let waiting = self.waiting.get(&ticket)?;
+        let id = match &waiting.wish {
+            Wish::Submit(spec) => spec.id.clone(),
+            Wish::Broken(id) | Wish::Poll(id) | Wish::Abort(id) => id.clone(),
+        };
+        let job = state.cache.jobs.get(&id);
+        let change = match (&waiting.wish, job) {
+            (Wish::Submit(spec), None) => {
+                let flavors = &state.cache.flavors.0;
+                if flavors.is_empty() {
+                    let response = self.later();
+                    return Some(self.finish(ticket, response));
+                }
+                if impossible(spec, &self.settings, flavors) {
+                    if !fresh {
+                        return self.sync(ticket, state);
+                    }
+                    return Some(self.finish(ticket, Response::empty(422)));
+                }
+                jobs::accept(spec, wall_ms())
+            }
+            (Wish::Abort(_), Some(job)) if job.live().is_some() => jobs::cancel(&id, job)?,
+            (Wish::Broken(_), None) => return Some(self.finish(ticket, Response::empty(400))),
+            (_, None) => return Some(self.finish(ticket, Response::empty(404))),
+            (_, Some(job)) => {
+                let response = self.view(&id, job, 200);
+                return Some(self.finish(ticket, response));
+            }
+        };
+        state.push(Item { rank: Rank::User, origin: Origin::User(ticket), change });
+        None
+    }
+
+    fn finish(&mut self, ticket: u64, response: Response) -> Response {
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            let ms = waiting.since.elapsed().as_millis() as u64;
+            self.latency_ms.saturating_record(ms);
+        }
+        response
+    }
+
+    pub fn on_synced(&mut self, ticket: u64, state: &mut StateCore) -> Option<Response> {
+        self.act(ticket, true, state)
+    }
+
+    pub fn on_outcome(
+        &mut self,
+        ticket: u64,
+        outcome: Outcome,
+        state: &mut StateCore,
+        now: Instant,
+    ) -> Option<Response> {
+        if outcome != Outcome::Committed {
+            // Done by somebody else, perhaps done, or not done: read again, then decide again.
+            return if self.waiting.contains_key(&ticket) {
+                self.sync(ticket, state)
+            } else {
+                None
+            };
+        }
+        let waiting = self.waiting.get(&ticket)?;
+        let (id, status, code) = match &waiting.wish {
+            Wish::Submit(spec) => (spec.id.clone(), JobStatus::Queued, 201),
+            Wish::Abort(id) => (id.clone(), JobStatus::Cancelled, 200),
+            _ => return None,
+        };
+        if status == JobStatus::Cancelled {
+            self.cancelled.push((id.clone(), now));
+        }
+        let body = wire::encode(&JobView { id, status, done: 0, running: 0 });
+        Some(self.finish(ticket, Response::with(code, body)))
+    }
+
+    /// Answers what has waited too long, and everything if the store was lost.
+    pub fn tick(&mut self, state: &StateCore, now: Instant) -> Vec<Answer> {
+        let lost = state.lost(now);
+        let late: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| lost || now >= waiting.deadline)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        let keep = self.settings.platform.params.workers.cancel_s * 2.0;
+        self.cancelled.retain(|(_, at)| now.saturating_duration_since(*at).as_secs_f64() < keep);
+        late.into_iter()
+            .map(|ticket| {
+                let response = self.later();
+                (ticket, self.finish(ticket, response))
+            })
+            .collect()
+    }
+}
+
+/// Milliseconds of the time of day. It only orders jobs by age; nothing safe depends on it.
+fn wall_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |t| t.as_millis() as u64)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_protocol_s_paths_and_ids_are_known() {
+        let at = |method, target: &str| {
+            route(&Request { method, target: target.into(), body: Vec::new() })
+        };
+        assert_eq!(at(Method::Get, "/up"), Route::Up);
+        assert_eq!(at(Method::Post, "/up"), Route::WrongMethod);
+        assert_eq!(at(Method::Get, "/api/jobs/wk-7"), Route::Poll(JobId::new("wk-7")));
+        assert_eq!(at(Method::Post, "/api/jobs/wk-7/abort"), Route::Abort(JobId::new("wk-7")));
+        for path in ["/", "/api/jobs/", "/api/jobs/wk-", "/api/jobs/wk-1/x", "/api/jobs/wk-1%2f"] {
+            assert_eq!(at(Method::Get, path), Route::Unknown, "{path}");
+        }
+    }
+}
--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,333 @@
+//! Renting, returning and listing machines: a core without clock or I/O.
+
+use crate::constants::*;
+use crate::http::{CallError, Method, Request, Response};
+use crate::ids::{MachineId, Token};
+use crate::state::Bucket;
+use crate::wire::{self, Flavor, Flavors, Hire, Listed, MachineNames, MachinePage};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use tokio::time::Instant;
+
+/// Type, zone and kind, as indices into the catalogue and the zones, and whether it is spot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Kind {
+    pub flavor: usize,
+    pub zone: usize,
+    pub spot: bool,
+}
+
+#[derive(Debug, Clone)]
+pub enum CloudCall {
+    Flavors,
+    Hire(Kind, Hire),
+    Delete(Vec<MachineId>),
+    List { after: String },
+}
+
+#[derive(Debug)]
+pub enum CloudEvent {
+    Flavors(Vec<Flavor>),
+    Hired(Kind, Vec<MachineId>),
+    Refused(Kind),
+    Deleted(Vec<MachineId>),
+    /// A whole listing, and when its first page was asked for.
+    Listed(Vec<Listed>, Instant),
+}
+
+impl CloudCall {
+    pub fn request(&self) -> Request {
+        let post =
+            |target: &str, body| Request { method: Method::Post, target: target.to_owned(), body };
+        let get = |target: String| Request { method: Method::Get, target, body: Vec::new() };
+        match self {
+            CloudCall::Flavors => get("/flavors".into()),
+            CloudCall::Hire(_, hire) => post("/hosts", wire::encode(hire)),
+            CloudCall::Delete(machines) => {
+                post("/hosts/delete", wire::encode(&MachineNames { machines: machines.clone() }))
+            }
+            CloudCall::List { after } if after.is_empty() => get("/hosts?most=500".into()),
+            CloudCall::List { after } => get(format!("/hosts?after={after}&most=500")),
+        }
+    }
+}
+
+struct Open {
+    kind: Kind,
+    hire: Hire,
+    next: Instant,
+    in_flight: bool,
+}
+
+#[derive(Default)]
+struct Listing {
+    asked: Option<Instant>,
+    found: Vec<Listed>,
+}
+
+pub struct CloudCore {
+    bucket: Bucket,
+    token: Token,
+    counter: u64,
+    hires: BTreeMap<u64, Open>,
+    deletes: BTreeMap<MachineId, Instant>,
+    delete_in_flight: bool,
+    listing: Listing,
+    list_in_flight: bool,
+    list_at: Instant,
+    flavors_in_flight: bool,
+    flavors_at: Instant,
+    calls: HashMap<u64, (CloudCall, Option<u64>, Instant)>,
+    next_call: u64,
+    rest_until: Instant,
+    pub out: VecDeque<(u64, CloudCall)>,
+}
+
+impl CloudCore {
+    pub fn new(rps: f64, now: Instant) -> CloudCore {
+        CloudCore {
+            // Other controllers may have spent of the same budget just before.
+            bucket: Bucket::new(rps * STATE_BUDGET, 1.0, now),
+            token: Token(0),
+            counter: 0,
+            hires: BTreeMap::new(),
+            deletes: BTreeMap::new(),
+            delete_in_flight: false,
+            listing: Listing::default(),
+            list_in_flight: false,
+            list_at: now,
+            flavors_in_flight: false,
+            flavors_at: now,
+            calls: HashMap::new(),
+            next_call: 0,
+            rest_until: now,
+            out: VecDeque::new(),
+        }
+    }
+
+    /// A new leadership: request names carry its token and so are never used twice.
+    pub fn lead(&mut self, token: Token, now: Instant) {
+        self.token = token;
+        self.hires.clear();
+        self.deletes.clear();
+        self.listing = Listing::default();
+        self.list_at = now;
+    }
+
+    pub fn hire(&mut self, kind: Kind, flavor: &str, zone: &str, count: u32, now: Instant) {
+        let mut left = count;
+        while left > 0 {
+            let count = left.min(HIRE_MAX);
+            left -= count;
+            self.counter += 1;
+            let hire = Hire {
+                request: format!("r-{}-{}", self.token, self.counter),
+                flavor: flavor.to_owned(),
+                zone: zone.to_owned(),
+                spot: kind.spot,
+                count,
+            };
+            self.hires.insert(self.counter, Open { kind, hire, next: now, in_flight: false });
+        }
+    }
+
+    /// Machines of a kind asked for without an answer yet.
+    pub fn pending(&self) -> Vec<(Kind, u32)> {
+        self.hires.values().map(|open| (open.kind, open.hire.count)).collect()
+    }
+
+    pub fn delete(&mut self, machine: &MachineId, now: Instant) {
+        self.deletes.entry(machine.clone()).or_insert(now);
+    }
+
+    fn send(&mut self, call: CloudCall, hire: Option<u64>, now: Instant) {
+        self.bucket.take(1.0, now);
+        self.next_call += 1;
+        self.calls.insert(self.next_call, (call.clone(), hire, now));
+        self.out.push_back((self.next_call, call));
+    }
+
+    /// Sends what is due. A follower only reads the machine types.
+    pub fn poll(&mut self, leading: bool, now: Instant) {
+        if now < self.rest_until {
+            return;
+        }
+        if leading {
+            if !self.delete_in_flight && self.bucket.has(1.0, now) {
+                let due: Vec<MachineId> = self
+                    .deletes
+                    .iter()
+                    .filter(|(_, at)| **at <= now)
+                    .map(|(id, _)| id.clone())
+                    .take(DELETE_MAX)
+                    .collect();
+                if !due.is_empty() {
+                    self.delete_in_flight = true;
+                    self.send(CloudCall::Delete(due), None, now);
+                }
+            }
+            let due: Vec<u64> = self
+                .hires
+                .iter()
+                .filter(|(_, open)| !open.in_flight && open.next <= now)
+                .map(|(n, _)| *n)
+                .collect();
+            for n in due {
+                if !self.bucket.has(1.0, now) {
+                    break;
+                }
+                if let Some(open) = self.hires.get_mut(&n) {
+                    open.in_flight = true;
+                    let call = CloudCall::Hire(open.kind, open.hire.clone());
+                    self.send(call, Some(n), now);
+                }
+            }
+            if !self.list_in_flight && now >= self.list_at && self.bucket.has(1.0, now) {
+                self.list_in_flight = true;
+                self.listing.asked.get_or_insert(now);
+                let after = self.listing.found.last();
+                let after = after.map(|m| m.machine.to_string()).unwrap_or_default();
+                self.send(CloudCall::List { after }, None, now);
+            }
+        }
+        if !self.flavors_in_flight && now >= self.flavors_at && self.bucket.has(1.0, now) {
+            self.flavors_in_flight = true;
+            self.send(CloudCall::Flavors, None, now);
+        }
+    }
+
+    pub fn on_reply(
+        &mut self,
+        id: u64,
+        reply: Result<Response, CallError>,
+        now: Instant,
+    ) -> Vec<CloudEvent> {
+        let Some((call, hire, _)) = self.calls.remove(&id) else { return Vec::new() };
+        let status = reply.as_ref().map(|r| r.status).unwrap_or(0);
+        let body = reply.map(|r| r.body).unwrap_or_default();
+        let mut events = Vec::new();
+        if status == 429 {
+            self.rest_until = now + STATE_RETRY;
+        }
+        match call {
+            CloudCall::Flavors => {
+                self.flavors_in_flight = false;
+                self.flavors_at = now + STATE_RETRY * 4;
+                if status == 200
+                    && let Ok(found) = wire::decode::<Flavors>(&body)
+                {
+                    self.flavors_at = now + FLAVORS_EVERY;
+                    events.push(CloudEvent::Flavors(found.flavors));
+                }
+            }
+            CloudCall::Hire(kind, _) => {
+                let Some(n) = hire else { return events };
+                if !self.hires.contains_key(&n) {
+                    return events;
+                }
+                if status == 200
+                    && let Ok(found) = wire::decode::<MachineNames>(&body)
+                {
+                    let asked = self.hires.remove(&n).map_or(0, |open| open.hire.count as usize);
+                    let short = found.machines.len() < asked;
+                    events.push(CloudEvent::Hired(kind, found.machines));
+                    if short {
+                        events.push(CloudEvent::Refused(kind));
+                    }
+                } else if status == 503 || status == 400 {
+                    // "no capacity" and "trouble" are both answered by looking elsewhere.
+                    self.hires.remove(&n);
+                    events.push(CloudEvent::Refused(kind));
+                } else if let Some(open) = self.hires.get_mut(&n) {
+                    // Perhaps executed: the same name again gets the same machines.
+                    open.in_flight = false;
+                    open.next = now + STATE_RETRY * 2;
+                }
+            }
+            CloudCall::Delete(machines) => {
+                self.delete_in_flight = false;
+                if status == 200 {
+                    for machine in &machines {
+                        self.deletes.remove(machine);
+                    }
+                    events.push(CloudEvent::Deleted(machines));
+                } else {
+                    for machine in &machines {
+                        if let Some(at) = self.deletes.get_mut(machine) {
+                            *at = now + STATE_RETRY * 2;
+                        }
+                    }
+                }
+            }
+            CloudCall::List { .. } => {
+                self.list_in_flight = false;
+                match wire::decode::<MachinePage>(&body) {
+                    Ok(page) if status == 200 => {
+                        let more = page.truncated && !page.machines.is_empty();
+                        self.listing.found.extend(page.machines);
+                        if !more {
+                            let listing = std::mem::take(&mut self.listing);
+                            self.list_at = now + LIST_EVERY;
+                            events.push(CloudEvent::Listed(
+                                listing.found,
+                                listing.asked.unwrap_or(now),
+                            ));
+                        }
+                    }
+                    _ => self.list_at = now + STATE_RETRY * 4,
+                }
+            }
+        }
+        events
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const KIND: Kind = Kind { flavor: 0, zone: 0, spot: true };
+
+    fn hire_sent(core: &mut CloudCore, now: Instant) -> (u64, String) {
+        core.poll(true, now);
+        let found = core.out.drain(..).find_map(|(id, call)| match call {
+            CloudCall::Hire(_, hire) => Some((id, hire.request)),
+            _ => None,
+        });
+        found.expect("a hire was sent")
+    }
+
+    #[test]
+    fn a_hire_without_an_answer_keeps_its_name_and_a_new_one_gets_another() {
+        let now = Instant::now();
+        let mut core = CloudCore::new(100.0, now);
+        core.lead(Token(3), now);
+        core.hire(KIND, "f", "z", 2, now);
+        let (id, name) = hire_sent(&mut core, now);
+        assert!(core.on_reply(id, Err(CallError::Unknown), now).is_empty());
+        assert_eq!(core.pending(), [(KIND, 2)]);
+        let later = now + STATE_RETRY * 3;
+        let (id, again) = hire_sent(&mut core, later);
+        assert_eq!(name, again);
+        let refused = core.on_reply(id, Ok(Response::empty(503)), later);
+        assert!(matches!(refused[..], [CloudEvent::Refused(KIND)]));
+        core.lead(Token(4), later);
+        core.hire(KIND, "f", "z", 1, later);
+        assert_ne!(hire_sent(&mut core, later).1, name);
+    }
+
+    #[test]
+    fn a_deletion_is_repeated_until_it_is_answered() {
+        let now = Instant::now();
+        let mut core = CloudCore::new(100.0, now);
+        core.delete(&MachineId::new("i-1"), now);
+        core.poll(true, now);
+        let id = core.out.iter().find(|(_, c)| matches!(c, CloudCall::Delete(_))).unwrap().0;
+        assert!(core.on_reply(id, Err(CallError::NotSent), now).is_empty());
+        core.out.clear();
+        core.poll(true, now + STATE_RETRY * 3);
+        let (id, _) =
+            core.out.iter().find(|(_, c)| matches!(c, CloudCall::Delete(_))).cloned().unwrap();
+        let events = core.on_reply(id, Ok(Response::empty(200)), now);
+        assert!(matches!(&events[..], [CloudEvent::Deleted(m)] if m.len() == 1));
+    }
+}
--- /dev/null
+++ b/src/constants.rs
@@ -0,0 +1,134 @@
+//! Every constant of the program, each with its unit and the reason for its value.
+//! What operators may change lives in [`crate::settings::Operator`]; its defaults are here too.
+
+use std::time::Duration;
+
+/// Bytes. PROTOCOL caps request bodies and our responses at 64 KiB.
+pub const BODY_MAX: usize = 64 * 1024;
+/// Bytes. A body read from the cloud or the state service may be larger: pages hold 512 KiB
+/// and a follow response has no limit, so this only stops a peer that has gone mad.
+pub const CLIENT_BODY_MAX: usize = 8 * 1024 * 1024;
+/// Bytes. Request line and headers together; ours are a few hundred.
+pub const HEAD_MAX: usize = 8 * 1024;
+/// Count. Headers in one message.
+pub const HEADERS_MAX: usize = 48;
+/// A client that sends half a request is dropped after this long.
+pub const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// An idle connection is closed after this long; workers report every few seconds and users
+/// poll every five, so a live peer never meets it.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Share of the platform's socket limit that the public listener may hold; the rest is for the
+/// mesh and our own calls.
+pub const PUBLIC_SOCKET_SHARE: f64 = 0.8;
+/// Count. Idle connections kept for each address we call.
+pub const IDLE_PER_ADDRESS: usize = 4;
+/// How long a connection of our own may take to open: several round trips with one resend.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Idle connections of ours older than this are not reused: the far side may have dropped them.
+pub const REUSE_WITHIN: Duration = Duration::from_secs(30);
+
+/// How long a user's request may take inside; users give a poll 2 s and a submission 5 s.
+pub const USER_DEADLINE: Duration = Duration::from_millis(1600);
+/// How long a submission or an abort may take inside.
+pub const CHANGE_DEADLINE: Duration = Duration::from_millis(4000);
+/// Count. User requests waiting in one process; beyond it they are refused at once.
+pub const USER_QUEUE_MAX: usize = 2000;
+/// Seconds. What `Retry-After` says on a refusal.
+pub const RETRY_AFTER_S: u64 = 1;
+
+/// Timeout of a commit or read at the state service, which normally answers within 10 ms and
+/// now and then within a few hundred.
+pub const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a follow waits at the state service.
+pub const FOLLOW_WAIT: Duration = Duration::from_secs(8);
+/// Pause after a follow answer, so that a burst of changes costs at most 25 requests a second.
+pub const FOLLOW_PAUSE: Duration = Duration::from_millis(40);
+/// Pause between two read-index syncs of one process.
+pub const SYNC_PAUSE: Duration = Duration::from_millis(25);
+/// Pause after a failed call to the state service, grown by a random half.
+pub const STATE_RETRY: Duration = Duration::from_millis(250);
+/// A process that has had no answer from the state service for this long counts it as lost.
+pub const STATE_LOST: Duration = Duration::from_millis(2500);
+/// Share of the state service's budget that we plan to use; the rest is for its own counting.
+pub const STATE_BUDGET: f64 = 0.92;
+/// Share of that budget which the leader takes; followers divide the rest.
+pub const LEADER_BUDGET: f64 = 0.5;
+/// Rows asked for in one page.
+pub const PAGE_ROWS: usize = 500;
+
+/// Life of the leader's lease at the state service.
+pub const LEADER_LEASE: Duration = Duration::from_millis(3500);
+/// Pause between renewals of that lease.
+pub const RENEW_EVERY: Duration = Duration::from_millis(700);
+/// Subtracted from the lease's life besides drift: time between our check and the packet's
+/// leaving.
+pub const LEASE_MARGIN: Duration = Duration::from_millis(400);
+/// Share by which two steady clocks may disagree: 0.05% each side.
+pub const DRIFT: f64 = 0.001;
+/// How long a pledge not to campaign lasts. A restarted process sits this out as well.
+pub const PLEDGE: Duration = Duration::from_millis(3000);
+/// Pause between the leader's messages to each peer.
+pub const MESH_EVERY: Duration = Duration::from_millis(500);
+/// Upper bound of the random pause before a campaign.
+pub const CAMPAIGN_JITTER: Duration = Duration::from_millis(120);
+/// A leader that gave up for want of workers does not campaign for this long.
+pub const RESIGN_REST: Duration = Duration::from_secs(15);
+
+/// Timeout of a direct command to a worker.
+pub const WORKER_TIMEOUT: Duration = Duration::from_millis(3000);
+/// Added to a worker's lease before its tasks count as dead: packet and timer delays.
+pub const WORKER_MARGIN: Duration = Duration::from_millis(1500);
+/// Count. Orders in one answer to a worker, which keeps it far below 64 KiB.
+pub const ORDERS_MAX: usize = 300;
+/// Count. Bits of an attempt number that count within one leadership; the rest is the token.
+pub const ATTEMPT_BITS: u32 = 24;
+
+/// Timeout of a call to the cloud.
+pub const CLOUD_TIMEOUT: Duration = Duration::from_secs(4);
+/// Pause between two listings of the cloud's machines.
+pub const LIST_EVERY: Duration = Duration::from_secs(4);
+/// Pause between two readings of the machine types and prices.
+pub const FLAVORS_EVERY: Duration = Duration::from_secs(60);
+/// Count. PROTOCOL's cap on machines in one rental.
+pub const HIRE_MAX: u32 = 50;
+/// Count. PROTOCOL's cap on names in one deletion.
+pub const DELETE_MAX: usize = 100;
+/// How long a type, zone and kind that refused a rental is left alone.
+pub const CAPACITY_REST: Duration = Duration::from_secs(6);
+/// A machine that is not up after this many times its nominal boot time is given back.
+pub const BOOT_PATIENCE: f64 = 3.0;
+/// Added to the above.
+pub const BOOT_PATIENCE_MORE: Duration = Duration::from_secs(20);
+/// A new leader waits this long before it rents, so that its first listing can tell what its
+/// predecessor rented.
+pub const HIRE_SETTLE: Duration = Duration::from_millis(1500);
+
+/// Pause between two looks at everything that depends on time.
+pub const TICK: Duration = Duration::from_millis(100);
+/// Shortest pause between two planning rounds.
+pub const PLAN_EVERY: Duration = Duration::from_millis(120);
+/// Count. Tasks considered in one planning round; the rest waits for the next.
+pub const PLAN_TASKS_MAX: usize = 1500;
+/// Pause between two lines of counts in the log.
+pub const COUNTS_EVERY: Duration = Duration::from_secs(5);
+/// First pause before a failed task is tried again; doubles with each failure.
+pub const RETRY_FIRST: Duration = Duration::from_secs(1);
+/// Longest such pause.
+pub const RETRY_MOST: Duration = Duration::from_secs(30);
+/// Count. Different jobs that must fail on one machine before it is given back.
+pub const FAULTY_JOBS: usize = 2;
+/// Micro-units in one unit of an amount: resources are counted in whole millionths.
+pub const MICRO: f64 = 1e6;
+/// Count. PROTOCOL's cap on the tasks of a job.
+pub const LEGS_MAX: u64 = 100_000;
+
+/// Default share of machines that the heavy basket may hold; the paper's section 8.2.1.
+pub const HEAVY_CAP: f64 = 0.3;
+/// Default share of a machine above which a task is heavy.
+pub const HEAVY_THRESHOLD: f64 = 0.5;
+/// Default seconds that an empty machine stays in its basket before the pool takes it back.
+pub const HOLD_S: f64 = 0.0;
+/// Default seconds that an empty machine is kept before it is returned to the cloud.
+pub const IDLE_RETURN_S: f64 = 25.0;
+/// Default machines' worth of free room kept ready in each zone for critical work.
+pub const WARM_PER_ZONE: f64 = 1.0;
--- /dev/null
+++ b/src/election.rs
@@ -0,0 +1,345 @@
+//! Who leads: the leader's lease, the token, and when one may act.
+
+use crate::constants::*;
+use crate::ids::{LeaseId, NodeName, Revision, Token};
+use crate::state::{Cache, LEADER_KEY, LeaderRecord, StateCall, StateReply, TOKEN_KEY};
+use crate::wire::{Data, Guard, Txn, Write};
+use rand::Rng;
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Role {
+    Follower,
+    /// A lease was asked for.
+    Asking,
+    /// The guarded transaction was sent and has no verdict yet. While this lasts no pledge is
+    /// given: the transaction may be applied late.
+    Campaigning {
+        lease: LeaseId,
+        sent: Instant,
+        token: Token,
+    },
+    /// Giving a lease back whose transaction had no verdict; its end settles the matter.
+    Settling {
+        lease: LeaseId,
+    },
+    Leading {
+        lease: LeaseId,
+        token: Token,
+    },
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum ElectionEvent {
+    Won(Token),
+    Lost(&'static str),
+}
+
+pub struct Election {
+    me: NodeName,
+    peers: usize,
+    role: Role,
+    /// Sure end of the state lease by our own clock.
+    valid_until: Instant,
+    renew_at: Instant,
+    renew_in_flight: bool,
+    campaign_at: Instant,
+    /// Until when we have promised not to campaign, and for whom.
+    pledged_until: Instant,
+    /// Pledges that we hold, by peer: until when each surely lasts.
+    pledges: HashMap<NodeName, Instant>,
+}
+
+/// What a lease or pledge of `life`, counted from when it was asked for, is surely worth.
+fn sure(life: Duration) -> Duration {
+    life.mul_f64(1.0 - DRIFT).saturating_sub(LEASE_MARGIN)
+}
+
+impl Election {
+    pub fn new(me: NodeName, peers: usize, now: Instant) -> Election {
+        Election {
+            me,
+            peers,
+            role: Role::Follower,
+            valid_until: now,
+            renew_at: now,
+            renew_in_flight: false,
+            // What this process promised before it was restarted is forgotten, so it first
+            // sits out the time of one pledge.
+            campaign_at: if peers == 0 { now } else { now + PLEDGE },
+            pledged_until: now,
+            pledges: HashMap::new(),
+        }
+    }
+
+    pub fn token(&self) -> Option<Token> {
+        match self.role {
+            Role::Leading { token, .. } => Some(token),
+            _ => None,
+        }
+    }
+
+    pub fn by_lease(&self, now: Instant) -> bool {
+        self.token().is_some() && now < self.valid_until
+    }
+
+    /// Whether every other controller has promised not to campaign.
+    fn by_pledge(&self, now: Instant) -> bool {
+        self.token().is_some()
+            && self.peers > 0
+            && self.pledges.len() == self.peers
+            && self.pledges.values().all(|until| now < *until)
+    }
+
+    /// Whether this process may act for the controllers now.
+    pub fn may_act(&self, now: Instant) -> bool {
+        self.by_lease(now) || self.by_pledge(now)
+    }
+
+    /// A leader asks for our promise. It is refused while a campaign of ours has no verdict, or
+    /// when we know of a later leader.
+    pub fn pledge(&mut self, token: Token, cache: &Cache, now: Instant) -> bool {
+        let open = matches!(self.role, Role::Follower);
+        let newest = cache.token.0;
+        if !open || token < newest {
+            return false;
+        }
+        // Seen through a working store, a leader without its key has lost its right.
+        let stands = !cache.loaded || cache.leader.as_ref().is_some_and(|(l, _)| l.token == token);
+        if stands {
+            self.pledged_until = self.pledged_until.max(now + PLEDGE);
+        }
+        stands
+    }
+
+    pub fn pledged_by(&mut self, peer: &NodeName, asked: Instant) {
+        let until = asked + sure(PLEDGE);
+        let entry = self.pledges.entry(peer.clone()).or_insert(until);
+        *entry = (*entry).max(until);
+    }
+
+    /// Gives leadership up and stands back for a while.
+    pub fn resign(&mut self, now: Instant) -> Option<StateCall> {
+        let Role::Leading { lease, .. } = self.role else { return None };
+        self.role = Role::Follower;
+        self.campaign_at = now + RESIGN_REST;
+        self.pledges.clear();
+        Some(StateCall::DropLease(lease))
+    }
+
+    pub fn poll(&mut self, cache: &Cache, state_lost: bool, now: Instant) -> Vec<StateCall> {
+        let mut calls = Vec::new();
+        match &self.role {
+            Role::Follower => {
+                if !cache.loaded || cache.leader.is_some() || state_lost {
+                    let jitter = CAMPAIGN_JITTER.mul_f64(rand::rng().random::<f64>());
+                    self.campaign_at = self.campaign_at.max(now + jitter);
+                } else if now >= self.campaign_at.max(self.pledged_until) {
+                    self.role = Role::Asking;
+                    calls.push(StateCall::NewLease(LEADER_LEASE));
+                }
+            }
+            Role::Settling { lease } => {
+                if now >= self.renew_at && !self.renew_in_flight {
+                    self.renew_in_flight = true;
+                    calls.push(StateCall::DropLease(*lease));
+                }
+            }
+            Role::Leading { lease, .. } => {
+                if now >= self.renew_at && !self.renew_in_flight {
+                    self.renew_in_flight = true;
+                    calls.push(StateCall::Touch(*lease));
+                }
+            }
+            Role::Asking | Role::Campaigning { .. } => {}
+        }
+        calls
+    }
+
+    fn stand_back(&mut self, now: Instant) {
+        self.role = Role::Follower;
+        self.campaign_at = now + STATE_RETRY;
+    }
+
+    /// Whether the leader has lost its right for good: another one leads.
+    pub fn check(&mut self, cache: &Cache) -> Option<ElectionEvent> {
+        let token = self.token()?;
+        (cache.token.0 > token).then(|| {
+            self.role = Role::Follower;
+            self.pledges.clear();
+            ElectionEvent::Lost("another leader has a higher token")
+        })
+    }
+
+    pub fn on_reply(
+        &mut self,
+        call: &StateCall,
+        sent: Instant,
+        reply: &StateReply,
+        cache: &Cache,
+        now: Instant,
+    ) -> (Vec<StateCall>, Option<ElectionEvent>) {
+        let mut calls = Vec::new();
+        let mut event = None;
+        match (self.role.clone(), call) {
+            (Role::Asking, StateCall::NewLease(_)) => match reply {
+                StateReply::Lease(lease) => {
+                    // The pledge may have been given, or a leader found, since we asked.
+                    if cache.leader.is_some() || now < self.pledged_until {
+                        self.stand_back(now);
+                        calls.push(StateCall::DropLease(*lease));
+                        return (calls, None);
+                    }
+                    let (old, rev) = cache.token;
+                    let token = Token(old.0 + 1);
+                    self.role = Role::Campaigning { lease: *lease, sent, token };
+                    calls.push(StateCall::Commit(self.campaign(token, rev, *lease)));
+                }
+                _ => self.stand_back(now),
+            },
+            (Role::Campaigning { lease, sent, token }, StateCall::Commit(_)) => match reply {
+                StateReply::Committed(_) => {
+                    self.role = Role::Leading { lease, token };
+                    self.valid_until = sent + sure(LEADER_LEASE);
+                    self.renew_at = now;
+                    self.renew_in_flight = false;
+                    self.pledges.clear();
+                    event = Some(ElectionEvent::Won(token));
+                }
+                StateReply::Unknown => {
+                    self.role = Role::Settling { lease };
+                    self.renew_at = now;
+                    self.renew_in_flight = false;
+                }
+                _ => {
+                    self.stand_back(now);
+                    calls.push(StateCall::DropLease(lease));
+                }
+            },
+            (Role::Settling { lease }, StateCall::DropLease(dropped)) if lease == *dropped => {
+                self.renew_in_flight = false;
+                match reply {
+                    StateReply::Done | StateReply::Gone => self.stand_back(now),
+                    _ => self.renew_at = now + STATE_RETRY,
+                }
+            }
+            (Role::Leading { lease, .. }, StateCall::Touch(touched)) if lease == *touched => {
+                self.renew_in_flight = false;
+                match reply {
+                    StateReply::Done => {
+                        self.valid_until = sent + sure(LEADER_LEASE);
+                        self.renew_at = sent + RENEW_EVERY;
+                    }
+                    StateReply::Gone => {
+                        self.stand_back(now);
+                        self.pledges.clear();
+                        event = Some(ElectionEvent::Lost("the lease ended"));
+                    }
+                    _ => self.renew_at = now + STATE_RETRY,
+                }
+            }
+            _ => {}
+        }
+        (calls, event)
+    }
+
+    fn campaign(&self, token: Token, token_rev: Revision, lease: LeaseId) -> Txn {
+        let record = LeaderRecord { node: self.me.clone(), token };
+        let put = |key: &str, data: Data, hold| Write::Put { key: key.into(), data, hold };
+        Txn {
+            guards: vec![
+                Guard { key: LEADER_KEY.into(), rev: Revision(0) },
+                Guard { key: TOKEN_KEY.into(), rev: token_rev },
+            ],
+            writes: vec![
+                put(LEADER_KEY, Data::serialized(&record).unwrap_or(Data::Null), Some(lease)),
+                put(TOKEN_KEY, Data::from(token.0), None),
+            ],
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn loaded() -> Cache {
+        Cache { loaded: true, ..Cache::default() }
+    }
+
+    fn leader(now: Instant) -> (Election, Cache, Instant) {
+        let mut cache = loaded();
+        let mut election = Election::new(NodeName::new("a"), 2, now);
+        let now = now + PLEDGE * 2;
+        let call = election.poll(&cache, false, now).remove(0);
+        let reply = StateReply::Lease(LeaseId(7));
+        let (mut calls, _) = election.on_reply(&call, now, &reply, &cache, now);
+        let reply = StateReply::Committed(Revision(3));
+        let (_, event) = election.on_reply(&calls.remove(0), now, &reply, &cache, now);
+        assert_eq!(event, Some(ElectionEvent::Won(Token(1))));
+        let record = LeaderRecord { node: NodeName::new("a"), token: Token(1) };
+        cache.leader = Some((record, Revision(3)));
+        cache.token = (Token(1), Revision(3));
+        (election, cache, now)
+    }
+
+    #[test]
+    fn authority_counts_from_when_the_renewal_was_sent_and_ends_before_the_lease() {
+        let (mut election, cache, now) = leader(Instant::now());
+        let call = election.poll(&cache, false, now).remove(0);
+        let late = now + Duration::from_secs(1);
+        election.on_reply(&call, now, &StateReply::Done, &cache, late);
+        assert!(election.may_act(now + LEADER_LEASE - LEASE_MARGIN * 2));
+        assert!(!election.may_act(now + LEADER_LEASE - LEASE_MARGIN));
+    }
+
+    #[test]
+    fn in_an_outage_it_takes_every_peer_s_pledge_and_each_runs_out() {
+        let (mut election, _, now) = leader(Instant::now());
+        let late = now + LEADER_LEASE * 2;
+        election.pledged_by(&NodeName::new("b"), late);
+        assert!(!election.may_act(late));
+        election.pledged_by(&NodeName::new("c"), late);
+        assert!(election.may_act(late));
+        assert!(!election.may_act(late + PLEDGE));
+    }
+
+    #[test]
+    fn whoever_pledged_or_was_restarted_does_not_campaign_until_it_runs_out() {
+        let now = Instant::now();
+        let mut cache = loaded();
+        let record = LeaderRecord { node: NodeName::new("a"), token: Token(1) };
+        cache.leader = Some((record, Revision(3)));
+        cache.token = (Token(1), Revision(3));
+        let mut follower = Election::new(NodeName::new("b"), 2, now);
+        cache.leader = cache.leader.take();
+        assert!(follower.pledge(Token(1), &cache, now + PLEDGE));
+        cache.leader = None;
+        assert!(follower.poll(&cache, false, now + PLEDGE * 2 - TICK).is_empty());
+        // A leader whose key is seen to be gone gets no further promise.
+        assert!(!follower.pledge(Token(1), &cache, now + PLEDGE));
+        assert_eq!(follower.poll(&cache, false, now + PLEDGE * 2 + TICK).len(), 1);
+        // With a campaign under way it gets none either.
+        assert!(!follower.pledge(Token(1), &cache, now + PLEDGE * 2 + TICK));
+        let mut restarted = Election::new(NodeName::new("c"), 2, now);
+        assert!(restarted.poll(&cache, false, now + PLEDGE - TICK).is_empty());
+    }
+
+    #[test]
+    fn a_campaign_without_a_verdict_is_settled_by_ending_its_lease() {
+        let now = Instant::now();
+        let cache = loaded();
+        let mut election = Election::new(NodeName::new("a"), 0, now);
+        let call = election.poll(&cache, false, now).remove(0);
+        let reply = StateReply::Lease(LeaseId(7));
+        let (mut calls, _) = election.on_reply(&call, now, &reply, &cache, now);
+        election.on_reply(&calls.remove(0), now, &StateReply::Unknown, &cache, now);
+        let calls = election.poll(&cache, false, now);
+        assert!(matches!(calls[..], [StateCall::DropLease(LeaseId(7))]));
+        election.on_reply(&calls[0], now, &StateReply::Done, &cache, now);
+        assert!(election.poll(&cache, false, now).is_empty());
+        assert_eq!(election.poll(&cache, false, now + STATE_RETRY * 2).len(), 1);
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,432 @@
+//! One worker as its leader knows it: reports, sessions, commands and what may still run there.
+//!
+//! An attempt is *seen* once a report shows it. Until then it may or may not have arrived, and it
+//! stays booked on its machine. A start that was sent straight to the worker and got no answer is
+//! *flying*: the network may hold it back and deliver it minutes later, so such an attempt is
+//! never forgotten within its session (a forgotten attempt would run again).
+
+use crate::constants::*;
+use crate::ids::{Amount, Attempt, MachineId, TaskId, Token};
+use crate::wire::{Order, Report, TaskState};
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stop {
+    pub grace_s: f64,
+    pub reason: &'static str,
+}
+
+/// One attempt on a machine.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub need: Amount,
+    pub team: usize,
+    pub image: Arc<str>,
+    pub seen: bool,
+    pub state: TaskState,
+    /// Direct commands with the start in them that have no answer.
+    pub flying: u32,
+    pub stop: Option<Stop>,
+    pub placed: Instant,
+    pub running_since: Option<Instant>,
+    /// Its exit was dealt with: it is forgotten as soon as that is safe.
+    pub settled: bool,
+}
+
+/// What a report tells about an attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fact {
+    Running(TaskId, Attempt),
+    Exited {
+        task: TaskId,
+        attempt: Attempt,
+        why: String,
+        saved: bool,
+    },
+    /// It is surely not on the machine any more, and nothing is known of its end.
+    Vanished(TaskId, Attempt),
+    /// A report shows it and we had not placed it: a predecessor did.
+    Found(TaskId, Attempt),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    Booting,
+    Up,
+    /// Its deletion was decided; nothing is placed on it.
+    Returning,
+}
+
+#[derive(Debug)]
+pub enum Heard {
+    /// Older than what we know.
+    Stale,
+    /// The worker has seen a higher token than ours.
+    Superseded,
+    News(Vec<Fact>),
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub address: Option<std::net::SocketAddr>,
+    pub flavor: usize,
+    pub zone: usize,
+    pub spot: bool,
+    pub life: Life,
+    pub index: u64,
+    /// Its record is committed, so a successor will know of it.
+    pub recorded: bool,
+    /// No order of a predecessor can reach it any more and all it runs is known.
+    pub confirmed: bool,
+    pub known_since: Instant,
+    pub up_since: Option<Instant>,
+    pub session: u64,
+    seq: u64,
+    pub token: Token,
+    /// When we last gave it a valid answer; its lease cannot have been renewed later.
+    pub answered: Instant,
+    pub heard: Option<Instant>,
+    pub listed: bool,
+    pub recall_at: Option<Instant>,
+    pub entries: BTreeMap<(TaskId, Attempt), Entry>,
+    pub idle_since: Option<Instant>,
+    pub images: Vec<Arc<str>>,
+    pub failed_jobs: HashSet<crate::ids::JobId>,
+    pub direct_in_flight: bool,
+    pub direct_after: Instant,
+}
+
+impl Machine {
+    pub fn new(
+        id: MachineId,
+        flavor: usize,
+        zone: usize,
+        spot: bool,
+        index: u64,
+        now: Instant,
+    ) -> Machine {
+        Machine {
+            id,
+            address: None,
+            flavor,
+            zone,
+            spot,
+            life: Life::Booting,
+            index,
+            recorded: false,
+            confirmed: true,
+            known_since: now,
+            up_since: None,
+            session: 0,
+            seq: 0,
+            token: Token(0),
+            answered: now,
+            heard: None,
+            listed: false,
+            recall_at: None,
+            entries: BTreeMap::new(),
+            idle_since: None,
+            images: Vec::new(),
+            failed_jobs: HashSet::new(),
+            direct_in_flight: false,
+            direct_after: now,
+        }
+    }
+
+    /// Takes a report in.
+    pub fn hear(&mut self, report: &Report, ours: Token, now: Instant) -> Heard {
+        if report.token > ours {
+            return Heard::Superseded;
+        }
+        if (report.session, report.seq) <= (self.session, self.seq) {
+            return Heard::Stale;
+        }
+        let mut facts = Vec::new();
+        if report.session > self.session {
+            facts.extend(self.lose_all());
+            self.session = report.session;
+        }
+        self.seq = report.seq;
+        self.token = self.token.max(report.token);
+        self.heard = Some(now);
+        if self.life == Life::Booting {
+            self.life = Life::Up;
+        }
+        self.up_since.get_or_insert(now);
+        self.recall_at = report.notice_s.map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 1e6)));
+        let mut listed = HashSet::new();
+        for shown in &report.tasks {
+            let key = (shown.task.clone(), shown.attempt);
+            listed.insert(key.clone());
+            let entry = match self.entries.get_mut(&key) {
+                Some(entry) => entry,
+                None => {
+                    facts.push(Fact::Found(shown.task.clone(), shown.attempt));
+                    self.entries.entry(key.clone()).or_insert(Entry {
+                        need: Amount::default(),
+                        team: usize::MAX,
+                        image: Arc::from(""),
+                        seen: true,
+                        state: shown.state,
+                        flying: 0,
+                        stop: None,
+                        placed: now,
+                        running_since: None,
+                        settled: false,
+                    })
+                }
+            };
+            entry.seen = true;
+            entry.state = shown.state;
+            match shown.state {
+                TaskState::Running => {
+                    if entry.running_since.is_none() {
+                        entry.running_since = Some(now);
+                        let image = entry.image.clone();
+                        if !image.is_empty() && !self.images.contains(&image) {
+                            self.images.push(image);
+                        }
+                    }
+                    facts.push(Fact::Running(key.0, key.1));
+                }
+                TaskState::Exited if !entry.settled => facts.push(Fact::Exited {
+                    task: key.0,
+                    attempt: key.1,
+                    why: shown.why.clone().unwrap_or_default(),
+                    saved: shown.saved.unwrap_or(false),
+                }),
+                _ => {}
+            }
+        }
+        // Gone without our forgetting it: whatever ran is not there any more. What was never
+        // seen may still be on its way and stays booked.
+        self.entries.retain(|key, entry| {
+            if entry.seen && !listed.contains(key) {
+                if entry.flying > 0 {
+                    return true;
+                }
+                facts.push(Fact::Vanished(key.0.clone(), key.1));
+                return false;
+            }
+            true
+        });
+        if self.token == ours {
+            self.confirmed = true;
+        }
+        Heard::News(facts)
+    }
+
+    /// Its session is over (or the machine is gone): nothing of what it had is there any more.
+    pub fn lose_all(&mut self) -> Vec<Fact> {
+        let entries = std::mem::take(&mut self.entries);
+        entries
+            .into_iter()
+            .filter(|(_, entry)| !entry.settled)
+            .map(|((task, attempt), _)| Fact::Vanished(task, attempt))
+            .collect()
+    }
+
+    /// Orders for the answer to its report. Only here is anything forgotten: report answers
+    /// arrive in order and never late, so no start can overtake a `forget`.
+    pub fn orders(&mut self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let mut dropped = Vec::new();
+        for ((task, attempt), entry) in &self.entries {
+            if orders.len() >= ORDERS_MAX {
+                break;
+            }
+            if entry.settled && entry.state == TaskState::Exited {
+                if entry.flying == 0 {
+                    orders.push(Order::Forget { task: task.clone(), attempt: *attempt });
+                    dropped.push((task.clone(), *attempt));
+                }
+            }
+        }
+        for key in dropped {
+            self.entries.remove(&key);
+        }
+        orders.extend(self.starts_and_stops());
+        orders.truncate(ORDERS_MAX);
+        orders
+    }
+
+    /// Orders that may also be sent straight to the worker.
+    pub fn starts_and_stops(&mut self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for ((task, attempt), entry) in &self.entries {
+            if entry.state == TaskState::Exited || orders.len() >= ORDERS_MAX - 1 {
+                continue;
+            }
+            let (task, attempt) = (task.clone(), *attempt);
+            match &entry.stop {
+                // A start that may still be on its way is delivered and then stopped, so that
+                // the late one finds its attempt known.
+                Some(stop) => {
+                    if !entry.seen {
+                        orders.push(Order::Start { task: task.clone(), attempt });
+                    }
+                    let again = entry.state == TaskState::Saving && stop.grace_s > 0.0;
+                    if !again {
+                        orders.push(Order::Stop { task, attempt, grace_s: stop.grace_s });
+                    }
+                }
+                None if !entry.seen && self.recorded => orders.push(Order::Start { task, attempt }),
+                None => {}
+            }
+        }
+        orders
+    }
+
+    /// Marks the starts among orders that are sent straight to the worker.
+    pub fn note_flying(&mut self, orders: &[Order], by: i32) {
+        for order in orders {
+            if let Order::Start { task, attempt } = order
+                && let Some(entry) = self.entries.get_mut(&(task.clone(), *attempt))
+            {
+                entry.flying = entry.flying.saturating_add_signed(by);
+            }
+        }
+    }
+
+    /// What may be running here.
+    pub fn used(&self) -> Amount {
+        self.entries
+            .values()
+            .filter(|entry| entry.state != TaskState::Exited)
+            .fold(Amount::default(), |sum, entry| sum.plus(&entry.need))
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.values().all(|entry| entry.state == TaskState::Exited)
+    }
+
+    /// Whether its lease has surely run out: nobody but us could have answered it since.
+    pub fn lease_over(&self, lease: Duration, now: Instant) -> bool {
+        now > self.answered + lease.mul_f64(1.0 + DRIFT) + WORKER_MARGIN
+    }
+
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard.unwrap_or(self.known_since))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::ReportedTask;
+
+    const OURS: Token = Token(4);
+
+    fn machine() -> Machine {
+        let mut machine = Machine::new(MachineId::new("i-1"), 0, 0, false, 0, Instant::now());
+        machine.recorded = true;
+        machine
+    }
+
+    fn report(session: u64, seq: u64, tasks: &[(u32, u64, TaskState)]) -> Report {
+        Report {
+            machine: MachineId::new("i-1"),
+            address: "10.1.0.1:9000".into(),
+            flavor: "f".into(),
+            zone: "z".into(),
+            spot: false,
+            session,
+            seq,
+            token: OURS,
+            notice_s: None,
+            tasks: tasks
+                .iter()
+                .map(|(index, attempt, state)| ReportedTask {
+                    task: task(*index),
+                    attempt: Attempt(*attempt),
+                    state: *state,
+                    why: (*state == TaskState::Exited).then(|| "no_room".into()),
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn task(index: u32) -> TaskId {
+        TaskId { job: crate::ids::JobId::new("wk-1"), index }
+    }
+
+    fn place(machine: &mut Machine, index: u32, attempt: u64) {
+        let entry = Entry {
+            need: Amount::need(4.0, 0.0, 1.0),
+            team: 0,
+            image: Arc::from("img"),
+            seen: false,
+            state: TaskState::Fetching,
+            flying: 0,
+            stop: None,
+            placed: Instant::now(),
+            running_since: None,
+            settled: false,
+        };
+        machine.entries.insert((task(index), Attempt(attempt)), entry);
+    }
+
+    fn facts(heard: Heard) -> Vec<Fact> {
+        match heard {
+            Heard::News(facts) => facts,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn reports_that_arrive_late_change_nothing() {
+        let mut machine = machine();
+        let now = Instant::now();
+        facts(machine.hear(&report(2, 9, &[(0, 1, TaskState::Running)]), OURS, now));
+        assert!(matches!(machine.hear(&report(2, 8, &[]), OURS, now), Heard::Stale));
+        assert!(matches!(machine.hear(&report(1, 99, &[]), OURS, now), Heard::Stale));
+        assert!(!machine.is_empty());
+    }
+
+    #[test]
+    fn an_unseen_start_stays_booked_and_is_repeated_until_a_new_session() {
+        let mut machine = machine();
+        let now = Instant::now();
+        facts(machine.hear(&report(1, 1, &[]), OURS, now));
+        place(&mut machine, 0, 7);
+        assert!(facts(machine.hear(&report(1, 2, &[]), OURS, now)).is_empty());
+        assert_eq!(machine.orders().len(), 1);
+        assert_eq!(
+            facts(machine.hear(&report(2, 3, &[]), OURS, now)),
+            [Fact::Vanished(task(0), Attempt(7))]
+        );
+    }
+
+    #[test]
+    fn an_attempt_whose_direct_start_had_no_answer_is_never_forgotten() {
+        let mut machine = machine();
+        let now = Instant::now();
+        facts(machine.hear(&report(1, 1, &[]), OURS, now));
+        place(&mut machine, 0, 7);
+        let orders = machine.starts_and_stops();
+        machine.note_flying(&orders, 1);
+        facts(machine.hear(&report(1, 2, &[(0, 7, TaskState::Exited)]), OURS, now));
+        for entry in machine.entries.values_mut() {
+            entry.settled = true;
+        }
+        assert!(machine.orders().is_empty());
+        machine.note_flying(&orders, -1);
+        assert!(matches!(machine.orders()[..], [Order::Forget { .. }]));
+        assert!(machine.entries.is_empty());
+    }
+
+    #[test]
+    fn a_cancelled_start_that_may_be_on_its_way_is_delivered_and_stopped() {
+        let mut machine = machine();
+        place(&mut machine, 0, 7);
+        for entry in machine.entries.values_mut() {
+            entry.stop = Some(Stop { grace_s: 0.0, reason: "cancelled" });
+        }
+        assert!(matches!(machine.orders()[..], [Order::Start { .. }, Order::Stop { .. }]));
+    }
+}
--- /dev/null
+++ b/src/foreman.rs
@@ -0,0 +1,1112 @@
+//! The leader's work: what it knows of machines and tasks, turned into commands.
+//!
+//! A core without clock or I/O. It exists only while its process leads, is built anew for each
+//! leadership from the store's records and the workers' reports, and stores no placements.
+
+use crate::cloud::{CloudCore, CloudEvent, Kind};
+use crate::constants::*;
+use crate::fleet::{Entry, Fact, Heard, Life, Machine, Stop};
+use crate::ids::{Amount, Attempt, JobId, MachineId, Revision, TaskId, Token};
+use crate::jobs::{self, Job, JobBody, LiveJob};
+use crate::placement::{self, Ask, Basket, Bin, Input, Offer};
+use crate::settings::Settings;
+use crate::state::{
+    Cache, Item, LEADER_KEY, MACHINE_PREFIX, MachineRecord, Origin, Outcome, Rank, StateCore,
+};
+use crate::wire::{Data, Flavor, Guard, Order, Orders, Report, Shape, TaskState, Urgency, Write};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A message to a worker.
+#[derive(Debug)]
+pub enum Direct {
+    Status,
+    Do(Orders),
+}
+
+/// What the leader knows of a live job's tasks beyond the store's record.
+#[derive(Debug, Default)]
+struct Work {
+    /// It was there before this leadership began: a predecessor may have started its tasks.
+    old: bool,
+    placed: BTreeMap<u32, (MachineId, Attempt)>,
+    /// Reported done, not committed yet.
+    completing: BTreeSet<u32>,
+    /// Not before, and how often it failed.
+    retry: BTreeMap<u32, (Instant, u32)>,
+    /// Machines on which its tasks failed.
+    failed_on: Vec<MachineId>,
+    /// No task below is pending.
+    cursor: u32,
+}
+
+pub struct Foreman {
+    pub token: Token,
+    leader_rev: Revision,
+    since: Instant,
+    counter: u64,
+    settings: Arc<Settings>,
+    teams: HashMap<String, usize>,
+    flavors: Vec<Flavor>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    work: HashMap<JobId, Work>,
+    images: HashMap<Arc<str>, u32>,
+    refused: HashMap<Kind, Instant>,
+    listed_once: bool,
+    plan_at: Instant,
+    plan_wanted: bool,
+    /// Shortest time until when some warm room is kept, by machine.
+    reserved: HashSet<MachineId>,
+    pub direct: Vec<(MachineId, SocketAddr, Direct)>,
+    pub last_report: Instant,
+    pub starts: u64,
+    pub stops: u64,
+}
+
+impl Foreman {
+    pub fn new(
+        token: Token,
+        leader_rev: Revision,
+        settings: Arc<Settings>,
+        cache: &Cache,
+        now: Instant,
+    ) -> Foreman {
+        let names = settings.platform.params.teams.iter().map(|team| team.name.clone());
+        let mut foreman = Foreman {
+            token,
+            leader_rev,
+            since: now,
+            counter: 0,
+            teams: names.enumerate().map(|(i, name)| (name, i)).collect(),
+            flavors: cache.flavors.0.clone(),
+            settings,
+            machines: BTreeMap::new(),
+            work: HashMap::new(),
+            images: HashMap::new(),
+            refused: HashMap::new(),
+            listed_once: false,
+            plan_at: now,
+            plan_wanted: true,
+            reserved: HashSet::new(),
+            direct: Vec::new(),
+            last_report: now,
+            starts: 0,
+            stops: 0,
+        };
+        for (id, (record, _)) in &cache.machines {
+            let Some(kind) = foreman.kind(&record.flavor, &record.zone, record.spot) else {
+                continue;
+            };
+            let machine = foreman.add_machine(id, kind, now);
+            machine.recorded = true;
+            machine.confirmed = false;
+            machine.life = Life::Up;
+            machine.address = record.address.parse().ok();
+        }
+        for (id, job) in &cache.jobs.all {
+            if job.live().is_some() {
+                foreman.work.insert(id.clone(), Work { old: true, ..Work::default() });
+            }
+        }
+        foreman
+    }
+
+    fn zone(&self, name: &str) -> Option<usize> {
+        self.settings.platform.params.zones.iter().position(|zone| zone == name)
+    }
+
+    fn kind(&self, flavor: &str, zone: &str, spot: bool) -> Option<Kind> {
+        let flavor = self.flavors.iter().position(|f| f.name == flavor)?;
+        Some(Kind { flavor, zone: self.zone(zone)?, spot })
+    }
+
+    fn size(&self, flavor: usize) -> Amount {
+        self.flavors.get(flavor).map(|f| Amount::room(f.cpus, f.gpus, f.ram_gb)).unwrap_or_default()
+    }
+
+    /// Indices are dealt round-robin over the zones: a machine gets the lowest rank free in its
+    /// zone, so the loss of a zone never takes most of a basket.
+    fn add_machine(&mut self, id: &MachineId, kind: Kind, now: Instant) -> &mut Machine {
+        let zones = self.settings.platform.params.zones.len() as u64;
+        let taken: HashSet<u64> =
+            self.machines.values().filter(|m| m.zone == kind.zone).map(|m| m.index).collect();
+        let index = (0..)
+            .map(|rank| rank * zones + kind.zone as u64)
+            .find(|index| !taken.contains(index))
+            .unwrap_or(u64::MAX);
+        self.machines.entry(id.clone()).or_insert_with(|| {
+            Machine::new(id.clone(), kind.flavor, kind.zone, kind.spot, index, now)
+        })
+    }
+
+    fn team_of(&self, name: &str) -> usize {
+        self.teams.get(name).copied().unwrap_or(usize::MAX)
+    }
+
+    fn leader_guard(&self) -> Guard {
+        Guard { key: LEADER_KEY.into(), rev: self.leader_rev }
+    }
+
+    // ---- reports -------------------------------------------------------------------------
+
+    /// A report on `/hello`; the answer renews the worker's lease. None: a later leader exists.
+    pub fn on_report(&mut self, report: &Report, cache: &Cache, now: Instant) -> Option<Orders> {
+        self.last_report = now;
+        if !self.machines.contains_key(&report.machine) {
+            let Some(kind) = self.kind(&report.flavor, &report.zone, report.spot) else {
+                return Some(self.answer(Vec::new()));
+            };
+            tracing::info!(machine = %report.machine, "a machine reports that was not known");
+            self.add_machine(&report.machine, kind, now);
+        }
+        if !self.take_report(report, cache, now) {
+            return None;
+        }
+        let machine = self.machines.get_mut(&report.machine)?;
+        // The answer is about to be sent, so its lease may now last until a lease from here.
+        machine.answered = now;
+        let orders = machine.orders();
+        Some(self.answer(orders))
+    }
+
+    fn answer(&self, orders: Vec<Order>) -> Orders {
+        Orders { token: self.token, session: None, orders }
+    }
+
+    /// False: the worker has seen a higher token than ours.
+    fn take_report(&mut self, report: &Report, cache: &Cache, now: Instant) -> bool {
+        let Some(machine) = self.machines.get_mut(&report.machine) else { return true };
+        if let Ok(address) = report.address.parse() {
+            machine.address = Some(address);
+        }
+        if machine.up_since.is_none() && !machine.recorded {
+            let boot_s = now.saturating_duration_since(machine.known_since).as_secs_f64();
+            tracing::info!(machine = %machine.id, boot_s, "machine is up");
+        }
+        let had_notice = machine.recall_at.is_some();
+        let facts = match machine.hear(report, self.token, now) {
+            Heard::Superseded => return false,
+            Heard::Stale => return true,
+            Heard::News(facts) => facts,
+        };
+        if !had_notice && machine.recall_at.is_some() {
+            tracing::info!(machine = %machine.id, notice_s = report.notice_s, "spot notice");
+        }
+        let id = report.machine.clone();
+        for fact in facts {
+            self.on_fact(&id, fact, cache, now);
+        }
+        self.drain_if_recalled(&id, cache, now);
+        self.plan_wanted = true;
+        true
+    }
+
+    fn on_fact(&mut self, machine: &MachineId, fact: Fact, cache: &Cache, now: Instant) {
+        match fact {
+            Fact::Running(..) => {}
+            Fact::Found(task, attempt) => self.adopt(machine, task, attempt, cache),
+            Fact::Vanished(task, attempt) => {
+                tracing::info!(%machine, %task, %attempt, "task is gone with its machine's session");
+                self.release(&task, attempt);
+            }
+            Fact::Exited { task, attempt, why, saved } => {
+                self.on_exit(machine, task, attempt, &why, saved, cache, now);
+            }
+        }
+    }
+
+    /// A task that a predecessor started.
+    fn adopt(&mut self, machine: &MachineId, task: TaskId, attempt: Attempt, cache: &Cache) {
+        let job = cache.jobs.get(&task.job);
+        let (team, need, image) = match job.map(|job| &job.body) {
+            Some(JobBody::Live(live)) => {
+                (self.team_of(&live.spec.team), live.need, Arc::from(live.spec.image.as_str()))
+            }
+            Some(JobBody::Over { rest: Some(rest), .. }) => {
+                (self.team_of(&rest.0), rest.1, Arc::from(""))
+            }
+            _ => (usize::MAX, Amount::default(), Arc::from("")),
+        };
+        let live = job.is_some_and(|job| job.live().is_some());
+        let work = live.then(|| self.work.entry(task.job.clone()).or_default());
+        let Some(machine) = self.machines.get_mut(machine) else { return };
+        let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) else { return };
+        (entry.team, entry.need, entry.image) = (team, need, image);
+        let stop = |reason| Some(Stop { grace_s: 0.0, reason });
+        let Some(work) = work else {
+            entry.stop = stop("its job is over");
+            return;
+        };
+        match work.placed.get(&task.index) {
+            None => {
+                work.placed.insert(task.index, (machine.id.clone(), attempt));
+            }
+            Some(other) if entry.state != TaskState::Exited => {
+                tracing::error!(%task, %attempt, other = %other.0, "a task was found twice");
+                entry.stop = stop("found twice");
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn release(&mut self, task: &TaskId, attempt: Attempt) {
+        if let Some(work) = self.work.get_mut(&task.job)
+            && work.placed.get(&task.index).is_some_and(|(_, placed)| *placed == attempt)
+            && !work.completing.contains(&task.index)
+        {
+            work.placed.remove(&task.index);
+            work.cursor = work.cursor.min(task.index);
+        }
+        self.plan_wanted = true;
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_exit(
+        &mut self,
+        id: &MachineId,
+        task: TaskId,
+        attempt: Attempt,
+        why: &str,
+        saved: bool,
+        cache: &Cache,
+        now: Instant,
+    ) {
+        let live = cache.jobs.get(&task.job).and_then(Job::live);
+        let done = why == "done" && live.is_some_and(|l| l.spec.shape == Shape::Array);
+        if let (true, Some(live)) = (done, live) {
+            // The machine keeps the exit until the completion is committed.
+            if !live.is_done(task.index, self.settings.chunk_tasks()) {
+                let work = self.work.entry(task.job.clone()).or_default();
+                work.completing.insert(task.index);
+                return;
+            }
+        }
+        if why != "halted" && why != "done" {
+            tracing::info!(machine = %id, %task, %attempt, why, saved, "task ended");
+        } else {
+            tracing::debug!(machine = %id, %task, %attempt, why, saved, "task ended");
+        }
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let index = task.index;
+        if let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) {
+            entry.settled = true;
+        }
+        if live.is_some() && !done {
+            let work = self.work.entry(task.job.clone()).or_default();
+            let failures = work.retry.get(&index).map_or(0, |(_, n)| *n);
+            let pause = match why {
+                "halted" => Duration::ZERO,
+                "no_room" | "in_use" => RETRY_FIRST,
+                _ => RETRY_MOST.min(RETRY_FIRST * 2u32.pow(failures.min(6))),
+            };
+            if why == "error" {
+                machine.failed_jobs.insert(task.job.clone());
+                if !work.failed_on.contains(id) {
+                    work.failed_on.push(id.clone());
+                }
+            }
+            let count = if why == "halted" { failures } else { failures + 1 };
+            work.retry.insert(index, (now + pause, count));
+        }
+        self.release(&task, attempt);
+    }
+
+    /// A spot machine that will be taken: what can save does, what cannot finish moves.
+    fn drain_if_recalled(&mut self, id: &MachineId, cache: &Cache, now: Instant) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let Some(at) = machine.recall_at else { return };
+        let left = at.saturating_duration_since(now).as_secs_f64();
+        for ((task, _), entry) in &mut machine.entries {
+            if entry.stop.is_some() || entry.state == TaskState::Exited {
+                continue;
+            }
+            let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { continue };
+            let ran = entry.running_since.map(|t| now.saturating_duration_since(t).as_secs_f64());
+            let rest = live.spec.expect_s - ran.unwrap_or(0.0);
+            if live.spec.shape == Shape::Array && ran.is_some() && rest < left - 1.0 {
+                continue;
+            }
+            entry.stop = Some(Stop { grace_s: (left - 1.0).max(0.0), reason: "spot notice" });
+            self.stops += 1;
+        }
+    }
+
+    // ---- the store ------------------------------------------------------------------------
+
+    /// Records of these jobs may have changed.
+    pub fn on_jobs(&mut self, ids: &[JobId], cache: &Cache) {
+        let chunk = self.settings.chunk_tasks();
+        for id in ids {
+            let Some(job) = cache.jobs.get(id) else { continue };
+            match &job.body {
+                JobBody::Live(live) => {
+                    let work = self.work.entry(id.clone()).or_default();
+                    let done: Vec<u32> = work
+                        .placed
+                        .keys()
+                        .filter(|task| live.is_done(**task, chunk))
+                        .copied()
+                        .collect();
+                    for task in done {
+                        work.completing.remove(&task);
+                        work.retry.remove(&task);
+                        if let Some((machine, attempt)) = work.placed.remove(&task)
+                            && let Some(machine) = self.machines.get_mut(&machine)
+                            && let Some(entry) = machine
+                                .entries
+                                .get_mut(&(TaskId { job: id.clone(), index: task }, attempt))
+                        {
+                            if entry.state == TaskState::Exited {
+                                entry.settled = true;
+                            } else {
+                                // A second run of a task that is done by now.
+                                entry.stop = Some(Stop { grace_s: 0.0, reason: "done elsewhere" });
+                            }
+                        }
+                    }
+                }
+                JobBody::Over { cancelled, .. } => {
+                    if self.work.remove(id).is_some() {
+                        tracing::debug!(job = %id, cancelled, "job is over");
+                    }
+                    self.stop_all(id);
+                }
+            }
+        }
+        self.plan_wanted = true;
+    }
+
+    /// Jobs that another controller told its users to be cancelled. While the store is out of
+    /// reach this is the only way to learn of them.
+    pub fn on_told_cancelled(&mut self, ids: &[JobId], cache: &Cache) {
+        for id in ids {
+            if cache.jobs.get(id).is_some_and(|job| job.live().is_some())
+                && self.work.remove(id).is_some()
+            {
+                tracing::info!(job = %id, "cancelled, as another controller tells");
+                self.stop_all(id);
+            }
+        }
+    }
+
+    /// Stops whatever a job that is over has anywhere.
+    fn stop_all(&mut self, id: &JobId) {
+        let from = (TaskId { job: id.clone(), index: 0 }, Attempt(0));
+        let to = (TaskId { job: id.clone(), index: u32::MAX }, Attempt(u64::MAX));
+        for machine in self.machines.values_mut() {
+            for (_, entry) in machine.entries.range_mut(from.clone()..=to.clone()) {
+                if entry.state == TaskState::Exited {
+                    entry.settled = true;
+                } else if entry.stop.as_ref().is_none_or(|stop| stop.grace_s > 0.0) {
+                    entry.stop = Some(Stop { grace_s: 0.0, reason: "its job is over" });
+                    self.stops += 1;
+                }
+            }
+        }
+    }
+
+    pub fn on_outcome(&mut self, origin: &Origin, outcome: Outcome) {
+        if let (Origin::MachineKnown(id), Outcome::Committed) = (origin, outcome)
+            && let Some(machine) = self.machines.get_mut(id)
+        {
+            machine.recorded = true;
+            self.plan_wanted = true;
+        }
+    }
+
+    /// Hands the store what is due: records of machines and completions.
+    fn store(&mut self, state: &mut StateCore) {
+        for machine in self.machines.values() {
+            let origin = Origin::MachineKnown(machine.id.clone());
+            if machine.life != Life::Up || machine.recorded || state.has_item(&origin) {
+                continue;
+            }
+            let Some(address) = machine.address else { continue };
+            let key = format!("{MACHINE_PREFIX}{}", machine.id);
+            let rev = state.cache.machines.get(&machine.id).map_or(Revision(0), |(_, rev)| *rev);
+            let record = MachineRecord {
+                address: address.to_string(),
+                flavor: self.flavors[machine.flavor].name.clone(),
+                zone: self.settings.platform.params.zones[machine.zone].clone(),
+                spot: machine.spot,
+            };
+            let data = Data::serialized(&record).unwrap_or(Data::Null);
+            let change = jobs::Change {
+                guards: vec![Guard { key: key.clone(), rev }, self.leader_guard()],
+                writes: vec![Write::Put { key, data, hold: None }],
+            };
+            state.push(Item { rank: Rank::Completion, origin, change });
+        }
+        // A record whose machine is surely gone.
+        let gone: Vec<(MachineId, Revision)> = state
+            .cache
+            .machines
+            .iter()
+            .filter(|(id, _)| !self.machines.contains_key(*id))
+            .map(|(id, (_, rev))| (id.clone(), *rev))
+            .collect();
+        for (id, rev) in gone {
+            let origin = Origin::MachineGone(id.clone());
+            if state.has_item(&origin) {
+                continue;
+            }
+            let key = format!("{MACHINE_PREFIX}{id}");
+            let change = jobs::Change {
+                guards: vec![Guard { key: key.clone(), rev }, self.leader_guard()],
+                writes: vec![Write::Delete { key }],
+            };
+            state.push(Item { rank: Rank::Rest, origin, change });
+        }
+        let chunk = self.settings.chunk_tasks();
+        let guard = self.leader_guard();
+        for (id, work) in &mut self.work {
+            let origin = Origin::Completion(id.clone());
+            if work.completing.is_empty() || state.has_item(&origin) {
+                continue;
+            }
+            let Some(job) = state.cache.jobs.get(id) else { continue };
+            let tasks: Vec<u32> = work.completing.iter().copied().collect();
+            if let Some(mut change) = jobs::complete(id, job, &tasks, chunk) {
+                change.guards.push(guard.clone());
+                state.push(Item { rank: Rank::Completion, origin, change });
+            }
+        }
+    }
+
+    // ---- the cloud ------------------------------------------------------------------------
+
+    pub fn on_cloud(&mut self, event: CloudEvent, cache: &Cache, now: Instant) {
+        self.plan_wanted = true;
+        match event {
+            CloudEvent::Flavors(found) => {
+                // Known types keep their place, since machines refer to it.
+                for flavor in found {
+                    match self.flavors.iter_mut().find(|f| f.name == flavor.name) {
+                        Some(old) => *old = flavor,
+                        None => self.flavors.push(flavor),
+                    }
+                }
+            }
+            CloudEvent::Hired(kind, machines) => {
+                for id in &machines {
+                    self.add_machine(id, kind, now);
+                }
+                let zone = &self.settings.platform.params.zones[kind.zone];
+                tracing::info!(count = machines.len(), %zone, spot = kind.spot, "rented");
+            }
+            CloudEvent::Refused(kind) => {
+                let zone = &self.settings.platform.params.zones[kind.zone];
+                tracing::info!(%zone, spot = kind.spot, "rental refused");
+                self.refused.insert(kind, now + CAPACITY_REST);
+            }
+            CloudEvent::Deleted(machines) => {
+                for id in machines {
+                    self.gone(&id, "returned", cache, now);
+                }
+            }
+            CloudEvent::Listed(listed, asked) => self.on_list(listed, asked, cache, now),
+        }
+    }
+
+    fn on_list(
+        &mut self,
+        listed: Vec<crate::wire::Listed>,
+        asked: Instant,
+        cache: &Cache,
+        now: Instant,
+    ) {
+        self.listed_once = true;
+        let mut present = HashSet::new();
+        for row in listed {
+            present.insert(row.machine.clone());
+            if row.status == crate::wire::ListedState::Failed {
+                self.gone(&row.machine, "failed", cache, now);
+                // It stays in the list until it is deleted.
+                self.reserved.remove(&row.machine);
+                if let Some(kind) = self.kind(&row.flavor, &row.zone, row.spot) {
+                    let machine = self.add_machine(&row.machine, kind, now);
+                    machine.life = Life::Returning;
+                    machine.listed = true;
+                }
+                continue;
+            }
+            if !self.machines.contains_key(&row.machine) {
+                let Some(kind) = self.kind(&row.flavor, &row.zone, row.spot) else { continue };
+                let age = Duration::from_secs_f64(row.age_s.clamp(0.0, 1e7));
+                let machine = self.add_machine(&row.machine, kind, now);
+                machine.known_since = now.checked_sub(age).unwrap_or(now);
+            }
+            if let Some(machine) = self.machines.get_mut(&row.machine) {
+                machine.listed = true;
+                if machine.address.is_none() {
+                    machine.address = row.address.as_deref().and_then(|a| a.parse().ok());
+                }
+            }
+        }
+        // A machine once listed stays listed until it is gone, but a list may be older than the
+        // one before. So a missing machine is only suspected; its deletion gives the proof.
+        let lag =
+            Duration::from_secs_f64(self.settings.platform.params.cloud.list_lag_s * 2.0 + 1.0);
+        let quiet = self.settings.report_every() * 2;
+        for machine in self.machines.values_mut() {
+            if !present.contains(&machine.id)
+                && machine.life != Life::Returning
+                && machine.silent_for(asked) > quiet
+                && asked.saturating_duration_since(machine.known_since) > lag
+            {
+                tracing::info!(machine = %machine.id, "silent and not listed");
+                machine.life = Life::Returning;
+            }
+        }
+    }
+
+    fn gone(&mut self, id: &MachineId, how: &'static str, cache: &Cache, now: Instant) {
+        let Some(mut machine) = self.machines.remove(id) else { return };
+        tracing::info!(machine = %id, how, tasks = machine.entries.len(), "machine is gone");
+        for fact in machine.lose_all() {
+            self.on_fact(id, fact, cache, now);
+        }
+    }
+
+    // ---- time -----------------------------------------------------------------------------
+
+    /// Called often, and only while this process may act.
+    pub fn tick(&mut self, state: &mut StateCore, cloud: &mut CloudCore, now: Instant) {
+        self.watch_machines(&state.cache, cloud, now);
+        self.store(state);
+        if self.plan_wanted && now >= self.plan_at {
+            self.plan_wanted = false;
+            self.plan_at = now + PLAN_EVERY;
+            self.plan(&state.cache, cloud, now);
+        }
+        self.send_direct(now);
+    }
+
+    fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
+        let lease = self.settings.worker_lease();
+        let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
+        let mut facts = Vec::new();
+        for machine in self.machines.values_mut() {
+            // Only the leader answers reports, and a predecessor's right had ended when ours
+            // began: once the lease has surely run out, the worker has killed what it had.
+            if (!machine.confirmed || !machine.entries.is_empty()) && machine.lease_over(lease, now)
+            {
+                tracing::info!(machine = %machine.id, "silent machine's lease is over");
+                machine.confirmed = true;
+                facts.extend(machine.lose_all().into_iter().map(|fact| (machine.id.clone(), fact)));
+            }
+            let flavor = &self.flavors[machine.flavor];
+            let age = now.saturating_duration_since(machine.known_since);
+            let patience =
+                Duration::from_secs_f64(flavor.boot_s * BOOT_PATIENCE) + BOOT_PATIENCE_MORE;
+            if machine.life == Life::Booting && age > patience {
+                tracing::info!(machine = %machine.id, "never came up");
+                machine.life = Life::Returning;
+            }
+            if machine.life == Life::Up
+                && machine.failed_jobs.len() >= FAULTY_JOBS
+                && machine.is_empty()
+            {
+                tracing::info!(machine = %machine.id, "faulty, given back");
+                machine.life = Life::Returning;
+            }
+            if machine.life == Life::Up && machine.is_empty() && machine.recall_at.is_none() {
+                let since = *machine.idle_since.get_or_insert(now);
+                let idle = now.saturating_duration_since(since);
+                // A machine costs a minute at the least.
+                let paid = age < Duration::from_secs(55);
+                if machine.confirmed
+                    && idle > idle_return
+                    && !paid
+                    && !self.reserved.contains(&machine.id)
+                    && now > self.since + HIRE_SETTLE * 4
+                {
+                    tracing::info!(machine = %machine.id, "idle, given back");
+                    machine.life = Life::Returning;
+                }
+            } else {
+                machine.idle_since = None;
+            }
+            if machine.life == Life::Returning {
+                cloud.delete(&machine.id, now);
+            }
+        }
+        for (id, fact) in facts {
+            self.on_fact(&id, fact, cache, now);
+        }
+    }
+
+    fn send_direct(&mut self, now: Instant) {
+        for machine in self.machines.values_mut() {
+            let Some(address) = machine.address else { continue };
+            if machine.direct_in_flight
+                || now < machine.direct_after
+                || machine.life == Life::Booting
+            {
+                continue;
+            }
+            if machine.session == 0 {
+                if !machine.confirmed {
+                    machine.direct_in_flight = true;
+                    self.direct.push((machine.id.clone(), address, Direct::Status));
+                }
+                continue;
+            }
+            let orders = machine.starts_and_stops();
+            if orders.is_empty() && machine.confirmed {
+                continue;
+            }
+            machine.note_flying(&orders, 1);
+            machine.direct_in_flight = true;
+            let session = Some(machine.session);
+            let orders = Orders { token: self.token, session, orders };
+            self.direct.push((machine.id.clone(), address, Direct::Do(orders)));
+        }
+    }
+
+    /// The end of a direct call: the worker's report, or whether it may still be executed.
+    pub fn on_direct(
+        &mut self,
+        id: &MachineId,
+        sent: Option<&Orders>,
+        report: Result<Report, crate::http::CallError>,
+        cache: &Cache,
+        now: Instant,
+    ) -> bool {
+        let Some(machine) = self.machines.get_mut(id) else { return true };
+        machine.direct_in_flight = false;
+        let answered = !matches!(report, Err(crate::http::CallError::Unknown));
+        if let (Some(orders), true) = (sent, answered) {
+            machine.note_flying(&orders.orders, -1);
+        }
+        match report {
+            Ok(report) if report.machine == *id => {
+                machine.direct_after = now + Duration::from_millis(20);
+                self.take_report(&report, cache, now)
+            }
+            _ => {
+                machine.direct_after = now + RETRY_FIRST * 2;
+                true
+            }
+        }
+    }
+
+    // ---- planning -------------------------------------------------------------------------
+
+    fn image_id(images: &mut HashMap<Arc<str>, u32>, name: &str) -> u32 {
+        if let Some(id) = images.get(name) {
+            return *id;
+        }
+        let id = images.len() as u32;
+        images.insert(Arc::from(name), id);
+        id
+    }
+
+    /// What each team's tasks may be using.
+    fn team_use(&self) -> Vec<Amount> {
+        let mut used = vec![Amount::default(); self.teams.len()];
+        for machine in self.machines.values() {
+            for entry in machine.entries.values() {
+                if entry.state != TaskState::Exited
+                    && let Some(sum) = used.get_mut(entry.team)
+                {
+                    *sum = sum.plus(&entry.need);
+                }
+            }
+        }
+        used
+    }
+
+    fn plan(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
+        let settings = self.settings.clone();
+        let params = &settings.platform.params;
+        let zones = params.zones.len();
+        let sizes: Vec<Amount> = (0..self.flavors.len()).map(|f| self.size(f)).collect();
+        let threshold = settings.operator.heavy_threshold;
+
+        // Machines on which tasks may run that no report has shown yet.
+        let unsure: Vec<(usize, usize, bool)> = self
+            .machines
+            .values()
+            .filter(|m| !m.confirmed)
+            .map(|m| (m.flavor, m.zone, m.spot))
+            .collect();
+        let unsure_room = self
+            .machines
+            .values()
+            .filter(|m| !m.confirmed)
+            .fold(Amount::default(), |sum, m| sum.plus(&self.size(m.flavor).minus(&m.used())));
+
+        // Live jobs in order of service: urgency, then what lies within its team's guarantee,
+        // then age.
+        let mut live: Vec<(&JobId, &LiveJob)> =
+            self.work.keys().filter_map(|id| Some((id, cache.jobs.get(id)?.live()?))).collect();
+        live.sort_by(|a, b| (a.1.accepted_ms, a.0).cmp(&(b.1.accepted_ms, b.0)));
+        let mut claimed = vec![Amount::default(); params.teams.len()];
+        let mut hidden = vec![Amount::default(); params.teams.len()];
+        let mut order: Vec<(Urgency, bool, usize)> = Vec::new();
+        for (at, (id, job)) in live.iter().enumerate() {
+            let Some(&team) = self.teams.get(&job.spec.team) else { continue };
+            claimed[team] = claimed[team].plus(&job.need.times(job.spec.tasks));
+            let beyond = !claimed[team].fits(&params.teams[team].guarantee());
+            order.push((job.spec.urgency, beyond, at));
+            let work = &self.work[*id];
+            if work.old && !unsure.is_empty() {
+                let unseen = job
+                    .spec
+                    .tasks
+                    .saturating_sub(job.done_count())
+                    .saturating_sub(work.placed.len() as u64);
+                hidden[team] = hidden[team].plus(&job.need.times(unseen));
+            }
+        }
+        order.sort();
+
+        let used = self.team_use();
+        let mut team_room: Vec<Amount> = params
+            .teams
+            .iter()
+            .enumerate()
+            .map(|(t, team)| team.most().minus(&used[t]).minus(&hidden[t].least(&unsure_room)))
+            .collect();
+        let unlimited = Amount { cpu: u64::MAX, gpu: u64::MAX, ram: u64::MAX };
+        team_room.push(unlimited);
+
+        let mut asks: Vec<Ask> = Vec::new();
+        let mut sources: Vec<(JobId, Vec<u32>)> = Vec::new();
+        let chunk = settings.chunk_tasks();
+        let mut budget = PLAN_TASKS_MAX;
+        let mut wake: Option<Instant> = None;
+        let mut updates: Vec<(JobId, u32)> = Vec::new();
+        for (_, _, at) in order {
+            if budget == 0 {
+                self.plan_wanted = true;
+                break;
+            }
+            let (id, job) = live[at];
+            let spec = &job.spec;
+            let work = &self.work[id];
+            let team = self.teams[&spec.team];
+            let flavors: Option<Vec<usize>> = spec.flavors.as_ref().map(|names| {
+                names
+                    .iter()
+                    .filter_map(|name| self.flavors.iter().position(|f| f.name == *name))
+                    .collect()
+            });
+            let zone = match &spec.zone {
+                Some(name) => match self.zone(name) {
+                    Some(zone) => Some(zone),
+                    None => continue,
+                },
+                None => None,
+            };
+            if work.old
+                && unsure.iter().any(|(flavor, at, spot)| {
+                    (spec.spot || !spot)
+                        && zone.is_none_or(|z| z == *at)
+                        && flavors.as_ref().is_none_or(|list| list.contains(flavor))
+                })
+            {
+                continue;
+            }
+            let most = placement::copies(&team_room[team], &job.need).min(budget as u64) as usize;
+            let mut waiting = Vec::new();
+            let mut cursor = None;
+            for task in work.cursor..job.tasks() {
+                if waiting.len() >= most {
+                    cursor.get_or_insert(task);
+                    break;
+                }
+                if work.placed.contains_key(&task) || job.is_done(task, chunk) {
+                    continue;
+                }
+                cursor.get_or_insert(task);
+                match work.retry.get(&task) {
+                    Some((at, _)) if *at > now => {
+                        wake = Some(wake.map_or(*at, |w: Instant| w.min(*at)));
+                    }
+                    _ => waiting.push(task),
+                }
+            }
+            updates.push((id.clone(), cursor.unwrap_or(job.tasks())));
+            if waiting.is_empty() {
+                continue;
+            }
+            budget -= waiting.len();
+            let mut in_zone = vec![0u32; zones];
+            let mut fixed = None;
+            for (machine, _) in work.placed.values() {
+                if let Some(machine) = self.machines.get(machine) {
+                    in_zone[machine.zone] += 1;
+                    fixed = Some(machine.zone);
+                }
+            }
+            let half = (spec.tasks as u32).div_ceil(2);
+            let zone_room = in_zone
+                .iter()
+                .map(|n| if spec.spread { half.saturating_sub(*n) } else { u32::MAX })
+                .collect();
+            let avoid = if work.failed_on.len() >= FAULTY_JOBS + 1 {
+                Vec::new()
+            } else {
+                let index = |id| self.machines.get(id).map(|m: &Machine| m.index);
+                work.failed_on.iter().filter_map(index).collect()
+            };
+            asks.push(Ask {
+                team,
+                urgency: spec.urgency,
+                need: job.need,
+                basket: placement::basket_of(&job.need, &sizes, threshold),
+                count: waiting.len() as u32,
+                zone: zone.or(if spec.one_zone { fixed } else { None }),
+                flavors,
+                spot: spec.spot,
+                zone_room,
+                one_zone: spec.one_zone,
+                image: Self::image_id(&mut self.images, &spec.image),
+                avoid,
+            });
+            sources.push((id.clone(), waiting));
+        }
+        drop(live);
+        for (id, cursor) in updates {
+            if let Some(work) = self.work.get_mut(&id) {
+                work.cursor = cursor;
+            }
+        }
+        let real_asks = asks.len();
+        self.warm_asks(&mut asks, &sizes, zones, params.teams.len());
+
+        // Bins.
+        let quiet = settings.report_every() * 2 + Duration::from_secs(1);
+        let mut bins = Vec::new();
+        let mut names = Vec::new();
+        for machine in self.machines.values() {
+            let flavor = &self.flavors[machine.flavor];
+            let age = now.saturating_duration_since(machine.known_since);
+            let booting = machine.life == Life::Booting
+                && age < Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
+            let up = machine.life == Life::Up
+                && machine.recall_at.is_none()
+                && machine.failed_jobs.len() < FAULTY_JOBS
+                && machine.heard.is_some()
+                && machine.silent_for(now) < quiet;
+            let coming = machine.life == Life::Up && !machine.confirmed;
+            if !(booting || up || coming) {
+                continue;
+            }
+            let mut basket = None;
+            for entry in machine.entries.values() {
+                if entry.state != TaskState::Exited {
+                    let this = placement::basket_of(&entry.need, &sizes, threshold);
+                    if basket != Some(Basket::Heavy) {
+                        basket = Some(this);
+                    }
+                }
+            }
+            bins.push(Bin {
+                index: machine.index,
+                zone: machine.zone,
+                flavor: machine.flavor,
+                spot: machine.spot,
+                free: sizes[machine.flavor].minus(&machine.used()),
+                basket,
+                ready: up && machine.confirmed && machine.recorded,
+                images: machine
+                    .images
+                    .iter()
+                    .map(|image| Self::image_id(&mut self.images, image))
+                    .collect(),
+            });
+            names.push(Some(machine.id.clone()));
+        }
+        for (kind, count) in cloud.pending() {
+            for _ in 0..count {
+                bins.push(Bin {
+                    index: u64::MAX,
+                    zone: kind.zone,
+                    flavor: kind.flavor,
+                    spot: kind.spot,
+                    free: sizes[kind.flavor],
+                    basket: None,
+                    ready: false,
+                    images: Vec::new(),
+                });
+                names.push(None);
+            }
+        }
+        let total = bins.len();
+        let heavy_cap = ((total as f64 * settings.operator.heavy_cap) as usize).max(1);
+        let kinds = self.offers(&sizes, now);
+        let may_rent = now >= self.since + HIRE_SETTLE
+            && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
+        let offers = if may_rent { kinds.iter().map(|(_, o)| o.clone()).collect() } else { vec![] };
+        let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap });
+
+        self.reserved.clear();
+        for (ask, bin) in &plan.places {
+            let Some(Some(id)) = names.get(*bin) else { continue };
+            if *ask >= real_asks {
+                self.reserved.insert(id.clone());
+                continue;
+            }
+            let (job, waiting) = &mut sources[*ask];
+            if waiting.is_empty() {
+                continue;
+            }
+            let task = TaskId { job: job.clone(), index: waiting.remove(0) };
+            let id = id.clone();
+            self.start(&id, task, cache, now);
+        }
+        for (n, count) in plan.hires.iter().enumerate() {
+            if *count > 0 {
+                let (kind, _) = &kinds[n];
+                let flavor = self.flavors[kind.flavor].name.clone();
+                cloud.hire(*kind, &flavor, &params.zones[kind.zone], *count, now);
+            }
+        }
+        if wake.is_some() || !plan.short.is_empty() || !plan.booked.is_empty() {
+            // Time alone may change the outcome: pauses end, refusals are forgotten.
+            self.plan_wanted = true;
+            let pause = if wake.is_some_and(|at| at < now + PLAN_EVERY * 4) { 2 } else { 4 };
+            self.plan_at = now + PLAN_EVERY * pause;
+        }
+    }
+
+    /// Room kept free for critical work, as asks that come last and are never started.
+    fn warm_asks(&self, asks: &mut Vec<Ask>, sizes: &[Amount], zones: usize, team: usize) {
+        let Some(size) = sizes.first() else { return };
+        let need = Amount { cpu: size.cpu / 4, gpu: 0, ram: size.ram / 4 };
+        let count = (self.settings.operator.warm_per_zone * 4.0).round() as u32;
+        for zone in (0..zones).filter(|_| count > 0) {
+            asks.push(Ask {
+                team,
+                urgency: Urgency::Low,
+                need,
+                basket: Basket::Light,
+                count,
+                zone: Some(zone),
+                flavors: None,
+                spot: false,
+                zone_room: vec![u32::MAX; zones],
+                one_zone: false,
+                image: u32::MAX,
+                avoid: Vec::new(),
+            });
+        }
+    }
+
+    fn offers(&self, sizes: &[Amount], now: Instant) -> Vec<(Kind, Offer)> {
+        let mut offers = Vec::new();
+        for (flavor, info) in self.flavors.iter().enumerate() {
+            for zone in info.zones.iter().filter_map(|name| self.zone(name)) {
+                for spot in [true, false] {
+                    let kind = Kind { flavor, zone, spot };
+                    if self.refused.get(&kind).is_some_and(|until| *until > now) {
+                        continue;
+                    }
+                    let held = self.machines.values().filter(|m| m.zone == zone && m.spot == spot);
+                    let offer = Offer {
+                        flavor,
+                        zone,
+                        spot,
+                        price: if spot { info.spot_price } else { info.price },
+                        size: sizes[flavor],
+                        most: HIRE_MAX,
+                        held: held.count() as u32,
+                    };
+                    offers.push((kind, offer));
+                }
+            }
+        }
+        offers
+    }
+
+    fn start(&mut self, id: &MachineId, task: TaskId, cache: &Cache, now: Instant) {
+        let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { return };
+        let team = self.team_of(&live.spec.team);
+        let (Some(machine), Some(work)) = (self.machines.get_mut(id), self.work.get_mut(&task.job))
+        else {
+            return;
+        };
+        self.counter += 1;
+        let attempt = Attempt::new(self.token, self.counter);
+        tracing::debug!(machine = %id, %task, %attempt, "start");
+        self.starts += 1;
+        work.placed.insert(task.index, (id.clone(), attempt));
+        let entry = Entry {
+            need: live.need,
+            team,
+            image: Arc::from(live.spec.image.as_str()),
+            seen: false,
+            state: TaskState::Fetching,
+            flying: 0,
+            stop: None,
+            placed: now,
+            running_since: None,
+            settled: false,
+        };
+        machine.entries.insert((task, attempt), entry);
+    }
+
+    // ---- views ----------------------------------------------------------------------------
+
+    /// How many tasks of each job run.
+    pub fn running(&self) -> HashMap<JobId, u32> {
+        let mut counts = HashMap::new();
+        for machine in self.machines.values() {
+            for ((task, _), entry) in &machine.entries {
+                if matches!(entry.state, TaskState::Running | TaskState::Saving) {
+                    *counts.entry(task.job.clone()).or_insert(0) += 1;
+                }
+            }
+        }
+        counts
+    }
+
+    /// One line of counts for the log.
+    pub fn log_counts(&self, cache: &Cache, now: Instant) {
+        let mut by_class: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        let running = self.running();
+        for id in self.work.keys() {
+            let Some(live) = cache.jobs.get(id).and_then(Job::live) else { continue };
+            let runs = u64::from(running.get(id).copied().unwrap_or(0));
+            let entry = by_class.entry(&live.spec.class).or_default();
+            entry.0 += runs;
+            entry.1 += live.spec.tasks.saturating_sub(live.done_count()).saturating_sub(runs);
+        }
+        let zones = &self.settings.platform.params.zones;
+        let mut by_kind: BTreeMap<String, u32> = BTreeMap::new();
+        let mut free = Amount::default();
+        for machine in self.machines.values() {
+            let silent = machine.silent_for(now) > self.settings.report_every() * 3;
+            let name = format!(
+                "{}-{}-{}",
+                zones[machine.zone],
+                if machine.spot { "spot" } else { "ordinary" },
+                match machine.life {
+                    Life::Booting => "booting",
+                    Life::Up if silent => "silent",
+                    Life::Up if machine.is_empty() => "idle",
+                    Life::Up => "up",
+                    Life::Returning => "returning",
+                }
+            );
+            *by_kind.entry(name).or_default() += 1;
+            if machine.life == Life::Up {
+                free = free.plus(&self.size(machine.flavor).minus(&machine.used()));
+            }
+        }
+        tracing::info!(
+            running_waiting = ?by_class,
+            machines = ?by_kind,
+            free_cpus = free.cpu as f64 / MICRO,
+            starts = self.starts,
+            stops = self.stops,
+            "counts"
+        );
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,547 @@
+//! HTTP/1.1: one codec for the server and the client.
+//!
+//! Each connection is served by a task of its own; the idle connections of the client are owned
+//! by a pool actor. Nothing here knows what the bodies mean.
+
+use crate::constants::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    Get,
+    Post,
+    Delete,
+    Other,
+}
+
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub method: Method,
+    pub target: String,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u64>,
+}
+
+impl Response {
+    pub fn empty(status: u16) -> Self {
+        Response { status, body: Vec::new(), retry_after_s: None }
+    }
+    pub fn with(status: u16, body: Vec<u8>) -> Self {
+        Response { status, body, retry_after_s: None }
+    }
+    /// A refusal for now: it is sent at once and says when to come back.
+    pub fn later(status: u16) -> Self {
+        Response { status, body: Vec::new(), retry_after_s: Some(RETRY_AFTER_S) }
+    }
+}
+
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum CodecError {
+    #[error("malformed message")]
+    Malformed,
+    #[error("head too large")]
+    HeadTooLarge,
+    #[error("body too large")]
+    BodyTooLarge,
+}
+
+/// What the parser made of the bytes so far.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Parsed<T> {
+    Partial,
+    Done(T, usize),
+}
+
+struct Framing {
+    length: Option<usize>,
+    chunked: bool,
+    close: bool,
+    retry_after: Option<u64>,
+}
+
+fn framing(headers: &[httparse::Header<'_>]) -> Result<Framing, CodecError> {
+    let mut out = Framing { length: None, chunked: false, close: false, retry_after: None };
+    for header in headers {
+        let value = std::str::from_utf8(header.value).map_err(|_| CodecError::Malformed)?.trim();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+                return Err(CodecError::Malformed);
+            }
+            let length = value.parse::<usize>().map_err(|_| CodecError::BodyTooLarge)?;
+            if out.length.is_some_and(|old| old != length) {
+                return Err(CodecError::Malformed);
+            }
+            out.length = Some(length);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(CodecError::Malformed);
+            }
+            out.chunked = true;
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            out.close |= value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close"));
+        } else if header.name.eq_ignore_ascii_case("retry-after") {
+            out.retry_after = value.parse().ok();
+        }
+    }
+    if out.chunked && out.length.is_some() {
+        return Err(CodecError::Malformed);
+    }
+    Ok(out)
+}
+
+/// Reads a chunked body from `bytes`; gives the body and how many bytes it took.
+fn dechunk(bytes: &[u8], limit: usize) -> Result<Parsed<Vec<u8>>, CodecError> {
+    let mut body = Vec::new();
+    let mut at = 0;
+    loop {
+        match httparse::parse_chunk_size(&bytes[at..]) {
+            Err(_) => return Err(CodecError::Malformed),
+            Ok(httparse::Status::Partial) => {
+                return if bytes.len() - at > HEAD_MAX {
+                    Err(CodecError::Malformed)
+                } else {
+                    Ok(Parsed::Partial)
+                };
+            }
+            Ok(httparse::Status::Complete((skip, size))) => {
+                let size = usize::try_from(size).map_err(|_| CodecError::BodyTooLarge)?;
+                if size > limit || body.len() + size > limit {
+                    return Err(CodecError::BodyTooLarge);
+                }
+                at += skip;
+                if size == 0 {
+                    // Trailers are read over up to the empty line.
+                    let mut room = [httparse::EMPTY_HEADER; HEADERS_MAX];
+                    return match httparse::parse_headers(&bytes[at..], &mut room) {
+                        Ok(httparse::Status::Complete((used, _))) => {
+                            Ok(Parsed::Done(body, at + used))
+                        }
+                        Ok(httparse::Status::Partial) if bytes.len() - at <= HEAD_MAX => {
+                            Ok(Parsed::Partial)
+                        }
+                        _ => Err(CodecError::Malformed),
+                    };
+                }
+                if bytes.len() < at + size + 2 {
+                    return Ok(Parsed::Partial);
+                }
+                body.extend_from_slice(&bytes[at..at + size]);
+                if &bytes[at + size..at + size + 2] != b"\r\n" {
+                    return Err(CodecError::Malformed);
+                }
+                at += size + 2;
+            }
+        }
+    }
+}
+
+fn body_of(frame: &Framing, bytes: &[u8], limit: usize) -> Result<Parsed<Vec<u8>>, CodecError> {
+    if frame.chunked {
+        return dechunk(bytes, limit);
+    }
+    let length = frame.length.unwrap_or(0);
+    if length > limit {
+        return Err(CodecError::BodyTooLarge);
+    }
+    if bytes.len() < length {
+        return Ok(Parsed::Partial);
+    }
+    Ok(Parsed::Done(bytes[..length].to_vec(), length))
+}
+
+/// Parses one request; the flag says whether the client wants the connection closed after it.
+pub fn parse_request(bytes: &[u8]) -> Result<Parsed<(Request, bool)>, CodecError> {
+    let mut room = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut head = httparse::Request::new(&mut room);
+    match head.parse(bytes) {
+        Err(httparse::Error::TooManyHeaders) => Err(CodecError::HeadTooLarge),
+        Err(_) => Err(CodecError::Malformed),
+        Ok(httparse::Status::Partial) if bytes.len() > HEAD_MAX => Err(CodecError::HeadTooLarge),
+        Ok(httparse::Status::Partial) => Ok(Parsed::Partial),
+        Ok(httparse::Status::Complete(used)) => {
+            if used > HEAD_MAX {
+                return Err(CodecError::HeadTooLarge);
+            }
+            let frame = framing(head.headers)?;
+            let method = match head.method {
+                Some("GET") => Method::Get,
+                Some("POST") => Method::Post,
+                Some("DELETE") => Method::Delete,
+                _ => Method::Other,
+            };
+            let target = head.path.unwrap_or("").to_owned();
+            let close = frame.close || head.version == Some(0);
+            Ok(match body_of(&frame, &bytes[used..], BODY_MAX)? {
+                Parsed::Partial => Parsed::Partial,
+                Parsed::Done(body, more) => {
+                    Parsed::Done((Request { method, target, body }, close), used + more)
+                }
+            })
+        }
+    }
+}
+
+/// Parses one response; the flag says whether the server will close the connection.
+pub fn parse_response(bytes: &[u8]) -> Result<Parsed<(Response, bool)>, CodecError> {
+    let mut room = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut head = httparse::Response::new(&mut room);
+    match head.parse(bytes) {
+        Err(_) => Err(CodecError::Malformed),
+        Ok(httparse::Status::Partial) if bytes.len() > HEAD_MAX => Err(CodecError::HeadTooLarge),
+        Ok(httparse::Status::Partial) => Ok(Parsed::Partial),
+        Ok(httparse::Status::Complete(used)) => {
+            let frame = framing(head.headers)?;
+            let status = head.code.unwrap_or(0);
+            let bare = status == 204 || status == 304;
+            let parsed = if bare {
+                Parsed::Done(Vec::new(), 0)
+            } else {
+                body_of(&frame, &bytes[used..], CLIENT_BODY_MAX)?
+            };
+            Ok(match parsed {
+                Parsed::Partial => Parsed::Partial,
+                Parsed::Done(body, more) => Parsed::Done(
+                    (Response { status, body, retry_after_s: frame.retry_after }, frame.close),
+                    used + more,
+                ),
+            })
+        }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+fn encode_response(response: &Response, close: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(160 + response.body.len());
+    let head = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: application/cbor\r\nContent-Length: {}\r\n",
+        response.status,
+        reason(response.status),
+        response.body.len()
+    );
+    out.extend_from_slice(head.as_bytes());
+    if let Some(seconds) = response.retry_after_s {
+        out.extend_from_slice(format!("Retry-After: {seconds}\r\n").as_bytes());
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&response.body);
+    out
+}
+
+fn encode_request(host: &str, request: &Request) -> Vec<u8> {
+    let method = match request.method {
+        Method::Post => "POST",
+        Method::Delete => "DELETE",
+        _ => "GET",
+    };
+    let mut out = format!("{method} {} HTTP/1.1\r\nHost: {host}\r\n", request.target).into_bytes();
+    if method != "GET" || !request.body.is_empty() {
+        out.extend_from_slice(
+            format!("Content-Type: application/cbor\r\nContent-Length: {}\r\n", request.body.len())
+                .as_bytes(),
+        );
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&request.body);
+    out
+}
+
+/// A request handed to whoever answers it.
+pub struct Incoming {
+    pub request: Request,
+    pub reply: oneshot::Sender<Response>,
+}
+
+/// Accepts connections until the process ends. Connections beyond `most` are told 503 and closed.
+pub async fn serve(listener: TcpListener, most: usize, to: mpsc::Sender<Incoming>) {
+    let (done_tx, mut done_rx) = mpsc::unbounded_channel::<()>();
+    let mut open = 0usize;
+    loop {
+        tokio::select! {
+            _ = done_rx.recv() => open -= 1,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    open += 1;
+                    let to = to.clone();
+                    let done = done_tx.clone();
+                    let refuse = open > most;
+                    tokio::spawn(async move {
+                        if refuse {
+                            let mut stream = stream;
+                            let bytes = encode_response(&Response::later(503), true);
+                            let _ = timeout(READ_TIMEOUT, stream.write_all(&bytes)).await;
+                        } else {
+                            connection(stream, to).await;
+                        }
+                        let _ = done.send(());
+                    });
+                }
+                Err(error) => {
+                    tracing::info!(%error, "accept failed");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+}
+
+async fn connection(mut stream: TcpStream, to: mpsc::Sender<Incoming>) {
+    let _ = stream.set_nodelay(true);
+    let mut buffer: Vec<u8> = Vec::new();
+    loop {
+        let parsed = loop {
+            match parse_request(&buffer) {
+                Ok(Parsed::Done(found, used)) => {
+                    buffer.drain(..used);
+                    break Ok(found);
+                }
+                Ok(Parsed::Partial) => {}
+                Err(error) => break Err(error),
+            }
+            let wait = if buffer.is_empty() { IDLE_TIMEOUT } else { READ_TIMEOUT };
+            match timeout(wait, stream.read_buf(&mut buffer)).await {
+                Ok(Ok(n)) if n > 0 => {}
+                _ => return,
+            }
+        };
+        let (response, close) = match parsed {
+            Ok((request, close)) => {
+                let (reply, answer) = oneshot::channel();
+                let response = match to.try_send(Incoming { request, reply }) {
+                    Ok(()) => answer.await.unwrap_or_else(|_| Response::later(503)),
+                    Err(_) => Response::later(503),
+                };
+                (response, close)
+            }
+            Err(CodecError::BodyTooLarge) => (Response::empty(413), true),
+            Err(CodecError::HeadTooLarge) => (Response::empty(431), true),
+            Err(CodecError::Malformed) => (Response::empty(400), true),
+        };
+        let bytes = encode_response(&response, close);
+        match timeout(READ_TIMEOUT, stream.write_all(&bytes)).await {
+            Ok(Ok(())) if !close => {}
+            _ => return,
+        }
+        if buffer.is_empty() {
+            buffer = Vec::new();
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, thiserror::Error, PartialEq, Eq)]
+pub enum CallError {
+    /// The request surely was not executed.
+    #[error("not connected")]
+    NotSent,
+    /// The request may have been executed, or may yet be.
+    #[error("no answer")]
+    Unknown,
+}
+
+struct Call {
+    address: SocketAddr,
+    request: Request,
+    within: Duration,
+    reply: oneshot::Sender<Result<Response, CallError>>,
+}
+
+enum PoolMessage {
+    Call(Call),
+    Idle(SocketAddr, TcpStream),
+}
+
+/// A handle to the client's pool of connections.
+#[derive(Clone)]
+pub struct Client {
+    to: mpsc::UnboundedSender<PoolMessage>,
+}
+
+impl Client {
+    /// Starts the pool actor; it ends when the last handle is dropped.
+    pub fn start() -> Client {
+        let (to, mut from) = mpsc::unbounded_channel();
+        let back = to.downgrade();
+        tokio::spawn(async move {
+            let mut idle: HashMap<SocketAddr, Vec<(TcpStream, Instant)>> = HashMap::new();
+            while let Some(message) = from.recv().await {
+                match message {
+                    PoolMessage::Idle(address, stream) => {
+                        let list = idle.entry(address).or_default();
+                        list.retain(|(_, since)| since.elapsed() < REUSE_WITHIN);
+                        if list.len() < IDLE_PER_ADDRESS {
+                            list.push((stream, Instant::now()));
+                        }
+                    }
+                    PoolMessage::Call(call) => {
+                        let mut kept = None;
+                        if let Some(list) = idle.get_mut(&call.address) {
+                            while let Some((stream, since)) = list.pop() {
+                                if since.elapsed() < REUSE_WITHIN && still_open(&stream) {
+                                    kept = Some(stream);
+                                    break;
+                                }
+                            }
+                            if list.is_empty() {
+                                idle.remove(&call.address);
+                            }
+                        }
+                        let back = back.clone();
+                        tokio::spawn(async move {
+                            let address = call.address;
+                            let outcome = exchange(kept, address, &call.request, call.within).await;
+                            let result = outcome.map(|(response, stream)| {
+                                if let (Some(stream), Some(back)) = (stream, back.upgrade()) {
+                                    let _ = back.send(PoolMessage::Idle(address, stream));
+                                }
+                                response
+                            });
+                            let _ = call.reply.send(result);
+                        });
+                    }
+                }
+            }
+        });
+        Client { to }
+    }
+
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        within: Duration,
+    ) -> Result<Response, CallError> {
+        let (reply, answer) = oneshot::channel();
+        let call = Call { address, request, within, reply };
+        self.to.send(PoolMessage::Call(call)).map_err(|_| CallError::NotSent)?;
+        answer.await.unwrap_or(Err(CallError::Unknown))
+    }
+}
+
+/// An idle connection on which the far side has closed (or spoken out of turn) is not reused.
+fn still_open(stream: &TcpStream) -> bool {
+    let mut probe = [0u8; 1];
+    matches!(stream.try_read(&mut probe), Err(ref e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+async fn exchange(
+    kept: Option<TcpStream>,
+    address: SocketAddr,
+    request: &Request,
+    within: Duration,
+) -> Result<(Response, Option<TcpStream>), CallError> {
+    let until = Instant::now() + within;
+    let mut stream = match kept {
+        Some(stream) => stream,
+        None => match timeout(CONNECT_TIMEOUT.min(within), TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                stream
+            }
+            _ => return Err(CallError::NotSent),
+        },
+    };
+    let talk = async {
+        let bytes = encode_request(&address.to_string(), request);
+        stream.write_all(&bytes).await.map_err(|_| CallError::Unknown)?;
+        let mut buffer = Vec::with_capacity(512);
+        loop {
+            match parse_response(&buffer) {
+                Ok(Parsed::Done((response, close), _)) => return Ok((response, close)),
+                Ok(Parsed::Partial) => {}
+                Err(_) => return Err(CallError::Unknown),
+            }
+            match stream.read_buf(&mut buffer).await {
+                Ok(n) if n > 0 => {}
+                _ => return Err(CallError::Unknown),
+            }
+        }
+    };
+    match tokio::time::timeout_at(until, talk).await {
+        Ok(Ok((response, close))) => Ok((response, (!close).then_some(stream))),
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(CallError::Unknown),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn hostile_requests_get_a_verdict_and_no_panic() {
+        let cases: [(&[u8], Result<(), CodecError>); 8] = [
+            (b"GET /up HTTP/1.1\r\n\r\n", Ok(())),
+            (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Err(CodecError::Malformed)),
+            (b"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", Err(CodecError::BodyTooLarge)),
+            (
+                b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+                Err(CodecError::BodyTooLarge),
+            ),
+            (
+                b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+                Err(CodecError::Malformed),
+            ),
+            (
+                b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n",
+                Err(CodecError::BodyTooLarge),
+            ),
+            (b"\x00\x01\x02\r\n\r\n", Err(CodecError::Malformed)),
+            (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", Ok(())),
+        ];
+        for (bytes, want) in cases {
+            let got =
+                parse_request(bytes).map(|parsed| assert!(matches!(parsed, Parsed::Done(..))));
+            assert_eq!(got, want, "{:?}", String::from_utf8_lossy(bytes));
+        }
+        assert_eq!(parse_request(&vec![b'a'; HEAD_MAX + 1]).err(), Some(CodecError::HeadTooLarge));
+    }
+
+    #[test]
+    fn every_prefix_of_a_request_is_partial_and_the_whole_is_read_once() {
+        let whole: &[u8] = b"POST /hello HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nhi\r\n3\r\nyou\r\n0\r\n\r\n";
+        for end in 0..whole.len() {
+            assert!(matches!(parse_request(&whole[..end]), Ok(Parsed::Partial)), "{end}");
+        }
+        let Ok(Parsed::Done((request, close), used)) = parse_request(whole) else { panic!() };
+        assert_eq!((request.body.as_slice(), close, used), (&b"hiyou"[..], true, whole.len()));
+    }
+
+    #[test]
+    fn a_response_survives_its_own_encoding() {
+        let response = Response::later(503);
+        let bytes = encode_response(&response, true);
+        assert_eq!(parse_response(&bytes), Ok(Parsed::Done((response, true), bytes.len())));
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! troutspindle: a cluster scheduler that places tasks on rented machines by capped, indexed
+//! first fit, after the GRMU paper. See `docs/design.md`.
+#![forbid(unsafe_code)]
+
+pub mod api;
+pub mod cli;
+pub mod cloud;
+pub mod constants;
+pub mod election;
+pub mod fleet;
+pub mod foreman;
+pub mod http;
+pub mod ids;
+pub mod jobs;
+pub mod mesh;
+pub mod node;
+pub mod placement;
+pub mod settings;
+pub mod state;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+#![forbid(unsafe_code)]
+
+fn main() -> std::process::ExitCode {
+    troutspindle::cli::Cli::run()
+}
--- /dev/null
+++ b/src/mesh.rs
@@ -0,0 +1,105 @@
+//! Messages between controllers: postcard frames over TCP.
+//!
+//! Each controller dials every other one and only writes on that connection; the other side
+//! acknowledges each frame with one byte, so that a dead connection is noticed and redialled.
+
+use crate::constants::*;
+use crate::ids::{JobId, NodeName, Token};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum MeshMessage {
+    /// Sent by everybody, twice a second.
+    Beat {
+        from: NodeName,
+        seq: u64,
+        /// A leader's token: with it goes the question for a pledge.
+        leading: Option<Token>,
+        state_lost: bool,
+    },
+    /// The promise not to campaign for a while, and what its giver told users to be cancelled.
+    Pledge { from: NodeName, seq: u64, token: Token, cancelled: Vec<JobId> },
+    /// How many tasks of each job run, for answers to users.
+    Running { token: Token, counts: Vec<(JobId, u32)> },
+}
+
+/// Bytes. A frame larger than this is a fault of the sender.
+const FRAME_MAX: usize = BODY_MAX;
+
+fn frame(message: &MeshMessage) -> Option<Vec<u8>> {
+    let body = postcard::to_stdvec(message).ok()?;
+    if body.len() > FRAME_MAX {
+        return None;
+    }
+    let mut out = (body.len() as u32).to_be_bytes().to_vec();
+    out.extend_from_slice(&body);
+    Some(out)
+}
+
+/// Reads frames from whoever dials in.
+pub async fn serve(listener: TcpListener, to: mpsc::UnboundedSender<MeshMessage>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let to = to.clone();
+                tokio::spawn(async move {
+                    let _ = read_frames(stream, to).await;
+                });
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn read_frames(
+    mut stream: TcpStream,
+    to: mpsc::UnboundedSender<MeshMessage>,
+) -> std::io::Result<()> {
+    let _ = stream.set_nodelay(true);
+    loop {
+        let length = timeout(IDLE_TIMEOUT, stream.read_u32()).await?? as usize;
+        if length > FRAME_MAX {
+            return Ok(());
+        }
+        let mut body = vec![0; length];
+        timeout(READ_TIMEOUT, stream.read_exact(&mut body)).await??;
+        let Ok(message) = postcard::from_bytes(&body) else { return Ok(()) };
+        if to.send(message).is_err() {
+            return Ok(());
+        }
+        stream.write_all(&[1]).await?;
+    }
+}
+
+/// Writes what it is given to one peer, redialling as needed; what can't be sent is dropped.
+pub async fn dial(address: SocketAddr, mut from: mpsc::Receiver<MeshMessage>) {
+    loop {
+        let Ok(Ok(mut stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
+            // What waited meanwhile is old news.
+            tokio::time::sleep(STATE_RETRY).await;
+            while from.try_recv().is_ok() {}
+            if from.is_closed() {
+                return;
+            }
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        loop {
+            let Some(message) = from.recv().await else { return };
+            let Some(bytes) = frame(&message) else { continue };
+            let sent = async {
+                stream.write_all(&bytes).await?;
+                stream.read_u8().await
+            };
+            if !matches!(timeout(CONNECT_TIMEOUT, sent).await, Ok(Ok(_))) {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,554 @@
+//! One controller: the cores put together, and the actor that carries their effects out.
+
+use crate::api::{Api, Route, route};
+use crate::cloud::{CloudCall, CloudCore, CloudEvent};
+use crate::constants::*;
+use crate::election::{Election, ElectionEvent};
+use crate::foreman::{Direct, Foreman};
+use crate::http::{self, CallError, Client, Incoming, Method, Request, Response};
+use crate::ids::{MachineId, NodeName, Revision};
+use crate::jobs;
+use crate::mesh::{self, MeshMessage};
+use crate::settings::Settings;
+use crate::state::{
+    FLAVORS_KEY, Item, Origin, Outcome, Rank, StateCall, StateCore, StateEvent, StateReply,
+};
+use crate::wire::{self, Data, Guard, Misdirected, Orders, Report, Write};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// What happens to a controller.
+#[derive(Debug)]
+pub enum Event {
+    Http(u64, Request),
+    State(u64, StateReply),
+    Cloud(u64, Result<Response, CallError>),
+    Direct(MachineId, Option<Orders>, Result<Report, CallError>),
+    Mesh(MeshMessage),
+    Tick,
+}
+
+/// What a controller wants done.
+#[derive(Debug)]
+pub enum Effect {
+    Reply(u64, Response),
+    State(u64, StateCall),
+    Cloud(u64, CloudCall),
+    Direct(MachineId, SocketAddr, Direct),
+    Mesh(NodeName, MeshMessage),
+}
+
+struct PeerView {
+    heard: Instant,
+    state_lost: bool,
+}
+
+/// Ticket of the sync that a new leader does before it looks at anything.
+const TAKE_OVER: u64 = 0;
+/// Ticket of the probe that shows whether the store still answers.
+const PROBE: u64 = 1;
+/// Tickets of users' requests begin here.
+pub const FIRST_TICKET: u64 = 10;
+
+pub struct Node {
+    settings: Arc<Settings>,
+    pub state: StateCore,
+    pub election: Election,
+    cloud: CloudCore,
+    pub foreman: Option<Foreman>,
+    api: Api,
+    peers: HashMap<NodeName, PeerView>,
+    mesh_at: Instant,
+    mesh_seq: u64,
+    asked: VecDeque<(u64, Instant)>,
+    probe_in_flight: bool,
+    work_at: Instant,
+    counts_at: Instant,
+    running_at: Instant,
+    may_act: bool,
+    pub out: Vec<Effect>,
+}
+
+impl Node {
+    pub fn new(settings: Arc<Settings>, now: Instant) -> Option<Node> {
+        let p = &settings.platform;
+        let nodes = p.others.len() + 1;
+        let limits = &p.params.state;
+        Some(Node {
+            state: StateCore::new(limits.rps, limits.write_rps, limits.txn_ops, nodes, now),
+            election: Election::new(p.host_name.clone(), p.others.len(), now),
+            cloud: CloudCore::new(p.params.cloud.rps, now),
+            foreman: None,
+            api: Api::new(settings.clone())?,
+            peers: HashMap::new(),
+            mesh_at: now,
+            mesh_seq: 0,
+            asked: VecDeque::new(),
+            probe_in_flight: false,
+            work_at: now,
+            counts_at: now,
+            running_at: now,
+            may_act: false,
+            out: Vec::new(),
+            settings,
+        })
+    }
+
+    pub fn handle(&mut self, event: Event, now: Instant) {
+        match event {
+            Event::Http(ticket, request) => self.on_http(ticket, request, now),
+            Event::State(id, reply) => self.state.on_reply(id, reply, now),
+            Event::Cloud(id, reply) => {
+                for event in self.cloud.on_reply(id, reply, now) {
+                    if let CloudEvent::Flavors(found) = &event {
+                        self.on_flavors(found.clone());
+                    }
+                    if let Some(foreman) = &mut self.foreman {
+                        foreman.on_cloud(event, &self.state.cache, now);
+                    }
+                }
+            }
+            Event::Direct(machine, sent, result) => {
+                if let Some(foreman) = &mut self.foreman
+                    && sent.as_ref().is_none_or(|orders| orders.token == foreman.token)
+                    && !foreman.on_direct(&machine, sent.as_ref(), result, &self.state.cache, now)
+                {
+                    tracing::info!(%machine, "a worker has seen a higher token");
+                    self.step_down(now);
+                }
+            }
+            Event::Mesh(message) => self.on_mesh(message, now),
+            Event::Tick => self.on_tick(now),
+        }
+        self.pump(now);
+    }
+
+    fn reply(&mut self, ticket: u64, response: Response) {
+        self.out.push(Effect::Reply(ticket, response));
+    }
+
+    fn on_http(&mut self, ticket: u64, request: Request, now: Instant) {
+        let response = match route(&request) {
+            Route::Up => {
+                Some(if self.is_up(now) { Response::empty(200) } else { Response::empty(503) })
+            }
+            Route::Hello => Some(self.on_hello(&request.body, now)),
+            Route::Unknown => Some(Response::empty(404)),
+            Route::WrongMethod => Some(Response::empty(405)),
+            user => self.api.on_request(ticket, user, &request.body, &mut self.state, now),
+        };
+        if let Some(response) = response {
+            self.reply(ticket, response);
+        }
+    }
+
+    /// Up while requests can be taken; a node that alone has lost the store says no, so that
+    /// users go where it is served.
+    fn is_up(&self, now: Instant) -> bool {
+        let fresh = |peer: &PeerView| now.saturating_duration_since(peer.heard) < STATE_LOST;
+        let others_fine = self.peers.values().any(|peer| fresh(peer) && !peer.state_lost);
+        self.state.cache.loaded && !(self.state.lost(now) && others_fine)
+    }
+
+    fn on_hello(&mut self, body: &[u8], now: Instant) -> Response {
+        let Ok(report) = wire::decode::<Report>(body) else { return Response::empty(400) };
+        // Checked anew for each answer: time has passed since the last look.
+        if self.election.may_act(now)
+            && let Some(foreman) = &mut self.foreman
+        {
+            return match foreman.on_report(&report, &self.state.cache, now) {
+                Some(orders) => Response::with(200, wire::encode(&orders)),
+                None => {
+                    tracing::info!(machine = %report.machine, "a worker has seen a higher token");
+                    self.step_down(now);
+                    Response::later(503)
+                }
+            };
+        }
+        match &self.state.cache.leader {
+            Some((leader, _)) if leader.node != self.settings.platform.host_name => {
+                let foreman = leader.node.to_string();
+                Response::with(421, wire::encode(&Misdirected { foreman }))
+            }
+            _ => Response::later(503),
+        }
+    }
+
+    fn step_down(&mut self, now: Instant) {
+        self.foreman = None;
+        self.state.set_leading(false, now);
+        if let Some(call) = self.election.resign(now) {
+            self.state.election(call, now);
+        }
+    }
+
+    fn on_flavors(&mut self, found: Vec<wire::Flavor>) {
+        // The catalogue is kept at the store, so that a controller started while the cloud is
+        // out can still judge submissions. It only grows: records refer to it.
+        let (known, rev) = &self.state.cache.flavors;
+        let mut all = known.clone();
+        for flavor in found {
+            match all.iter_mut().find(|f| f.name == flavor.name) {
+                Some(old) => *old = flavor,
+                None => all.push(flavor),
+            }
+        }
+        if all == *known || self.state.has_item(&Origin::Flavors) {
+            return;
+        }
+        let write = Write::Put {
+            key: FLAVORS_KEY.into(),
+            data: Data::serialized(&all).unwrap_or(Data::Null),
+            hold: None,
+        };
+        let guards = vec![Guard { key: FLAVORS_KEY.into(), rev: *rev }];
+        let change = jobs::Change { guards, writes: vec![write] };
+        // Only a leader, or whoever finds none there yet, writes it.
+        if self.foreman.is_some() || *rev == Revision(0) {
+            self.state.push(Item { rank: Rank::Rest, origin: Origin::Flavors, change });
+        }
+    }
+
+    fn on_mesh(&mut self, message: MeshMessage, now: Instant) {
+        match message {
+            MeshMessage::Beat { from, seq, leading, state_lost } => {
+                self.peers.insert(from.clone(), PeerView { heard: now, state_lost });
+                if let Some(token) = leading
+                    && self.election.pledge(token, &self.state.cache, now)
+                {
+                    let cancelled = self.api.cancelled.iter().map(|(id, _)| id.clone());
+                    let pledge = MeshMessage::Pledge {
+                        from: self.settings.platform.host_name.clone(),
+                        seq,
+                        token,
+                        cancelled: cancelled.take(1000).collect(),
+                    };
+                    self.out.push(Effect::Mesh(from, pledge));
+                }
+            }
+            MeshMessage::Pledge { from, seq, token, cancelled } => {
+                let asked = self.asked.iter().find(|(s, _)| *s == seq).map(|(_, at)| *at);
+                let ours = self.election.token() == Some(token);
+                if let (Some(asked), true) = (asked, ours) {
+                    if let Some(foreman) = &mut self.foreman {
+                        foreman.on_told_cancelled(&cancelled, &self.state.cache);
+                    }
+                    self.election.pledged_by(&from, asked);
+                }
+            }
+            MeshMessage::Running { token, counts } => {
+                if token >= self.state.cache.token.0 && self.foreman.is_none() {
+                    self.api.running = counts.into_iter().collect();
+                }
+            }
+        }
+    }
+
+    fn broadcast(&mut self, message: &MeshMessage) {
+        for peer in &self.settings.platform.others {
+            self.out.push(Effect::Mesh(peer.host_name.clone(), message.clone()));
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant) {
+        if now >= self.mesh_at {
+            self.mesh_at = now + MESH_EVERY;
+            self.mesh_seq += 1;
+            self.asked.push_back((self.mesh_seq, now));
+            if self.asked.len() > 20 {
+                self.asked.pop_front();
+            }
+            let beat = MeshMessage::Beat {
+                from: self.settings.platform.host_name.clone(),
+                seq: self.mesh_seq,
+                leading: self.foreman.as_ref().and(self.election.token()),
+                state_lost: self.state.lost(now),
+            };
+            self.broadcast(&beat);
+        }
+        let quiet = |at: Instant| now.saturating_duration_since(at) > STATE_LOST / 3;
+        if !self.probe_in_flight && self.state.last_ok.is_none_or(quiet) {
+            self.probe_in_flight = true;
+            self.state.sync(PROBE);
+        }
+        for (ticket, response) in self.api.tick(&self.state, now) {
+            self.reply(ticket, response);
+        }
+        if now >= self.counts_at {
+            self.counts_at = now + COUNTS_EVERY;
+            self.log_counts(now);
+        }
+        if let Some(foreman) = &self.foreman
+            && now >= self.running_at
+        {
+            self.running_at = now + MESH_EVERY * 2;
+            let running = foreman.running();
+            let counts = running.iter().map(|(id, n)| (id.clone(), *n)).take(1500).collect();
+            let token = foreman.token;
+            self.api.running = running;
+            self.broadcast(&MeshMessage::Running { token, counts });
+        }
+        self.resign_if_cut_off(now);
+    }
+
+    /// A leader that no worker reaches hands over, if it knows of workers that should report.
+    fn resign_if_cut_off(&mut self, now: Instant) {
+        let Some(foreman) = &self.foreman else { return };
+        let every = self.settings.report_every();
+        let known = foreman.machines.values().filter(|m| m.up_since.is_some() || m.recorded);
+        let known = known.count() as u32;
+        if known >= 3
+            && !self.settings.platform.others.is_empty()
+            && !self.state.lost(now)
+            && now.saturating_duration_since(foreman.last_report) > every * 2
+        {
+            tracing::info!(known, "no worker reports here, giving up leadership");
+            self.step_down(now);
+        }
+    }
+
+    fn log_counts(&mut self, now: Instant) {
+        let latency = &self.api.latency_ms;
+        tracing::info!(
+            queue = self.state.waiting(),
+            refused = self.api.refused,
+            p50_ms = latency.value_at_quantile(0.5),
+            p99_ms = latency.value_at_quantile(0.99),
+            state_lost = self.state.lost(now),
+            rev = %self.state.cache.rev,
+            "requests"
+        );
+        self.api.latency_ms.reset();
+        if let Some(foreman) = &self.foreman {
+            foreman.log_counts(&self.state.cache, now);
+        }
+    }
+
+    /// Lets the cores act on what has happened until nothing more follows.
+    fn pump(&mut self, now: Instant) {
+        loop {
+            while let Some(event) = self.state.events.pop_front() {
+                self.on_state(event, now);
+            }
+            if let Some(ElectionEvent::Lost(why)) = self.election.check(&self.state.cache) {
+                self.lost(why, now);
+            }
+            let lost = self.state.lost(now);
+            for call in self.election.poll(&self.state.cache, lost, now) {
+                self.state.election(call, now);
+            }
+            let act = self.election.may_act(now);
+            if act != self.may_act {
+                self.may_act = act;
+                if self.foreman.is_some() {
+                    tracing::info!(act, "right to act changed");
+                }
+            }
+            if act
+                && now >= self.work_at
+                && let Some(foreman) = &mut self.foreman
+            {
+                self.work_at = now + TICK / 4;
+                foreman.tick(&mut self.state, &mut self.cloud, now);
+                for (machine, address, direct) in foreman.direct.drain(..) {
+                    self.out.push(Effect::Direct(machine, address, direct));
+                }
+            }
+            self.state.poll(now);
+            self.cloud.poll(act && self.foreman.is_some(), now);
+            for (id, call) in self.state.calls.drain(..) {
+                self.out.push(Effect::State(id, call));
+            }
+            for (id, call) in self.cloud.out.drain(..) {
+                self.out.push(Effect::Cloud(id, call));
+            }
+            if self.state.events.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn lost(&mut self, why: &'static str, now: Instant) {
+        tracing::info!(why, "leadership lost");
+        self.foreman = None;
+        self.state.set_leading(false, now);
+    }
+
+    fn on_state(&mut self, event: StateEvent, now: Instant) {
+        match event {
+            StateEvent::Loaded => {
+                tracing::info!(jobs = self.state.cache.jobs.all.len(), "cache is loaded");
+            }
+            StateEvent::Changed(ids) => {
+                if let Some(foreman) = &mut self.foreman {
+                    foreman.on_jobs(&ids, &self.state.cache);
+                }
+            }
+            StateEvent::Synced(TAKE_OVER) => self.take_over(now),
+            StateEvent::Synced(PROBE) => self.probe_in_flight = false,
+            StateEvent::Synced(ticket) => {
+                if let Some(response) = self.api.on_synced(ticket, &mut self.state) {
+                    self.reply(ticket, response);
+                }
+            }
+            StateEvent::Outcome(Origin::User(ticket), outcome) => {
+                let answer = self.api.on_outcome(ticket, outcome, &mut self.state, now);
+                if let Some(response) = answer {
+                    self.reply(ticket, response);
+                }
+            }
+            StateEvent::Outcome(origin, outcome) => {
+                if outcome != Outcome::Committed {
+                    tracing::debug!(?origin, ?outcome, "commit failed");
+                }
+                if let Some(foreman) = &mut self.foreman {
+                    foreman.on_outcome(&origin, outcome);
+                }
+            }
+            StateEvent::Election(call, sent, reply) => {
+                let (calls, event) =
+                    self.election.on_reply(&call, sent, &reply, &self.state.cache, now);
+                for call in calls {
+                    self.state.election(call, now);
+                }
+                match event {
+                    Some(ElectionEvent::Won(token)) => {
+                        tracing::info!(%token, "won the leadership");
+                        self.state.set_leading(true, now);
+                        self.state.sync(TAKE_OVER);
+                    }
+                    Some(ElectionEvent::Lost(why)) => self.lost(why, now),
+                    None => {}
+                }
+            }
+        }
+    }
+
+    /// The cache now holds everything that any predecessor committed.
+    fn take_over(&mut self, now: Instant) {
+        let Some(token) = self.election.token() else { return };
+        let Some((leader, rev)) = &self.state.cache.leader else { return };
+        if leader.token != token || self.foreman.is_some() {
+            return;
+        }
+        if self.state.cache.flavors.0.is_empty() {
+            // Without the catalogue nothing can be judged; it comes from the cloud soon.
+            self.state.sync(TAKE_OVER);
+            return;
+        }
+        let cache = &self.state.cache;
+        let foreman = Foreman::new(token, *rev, self.settings.clone(), cache, now);
+        tracing::info!(%token, machines = foreman.machines.len(), "leading");
+        self.cloud.lead(token, now);
+        self.foreman = Some(foreman);
+    }
+}
+
+/// Runs a controller until the process ends.
+pub async fn run(settings: Settings) -> std::io::Result<()> {
+    let settings = Arc::new(settings);
+    let platform = &settings.platform;
+    let public = TcpListener::bind(platform.listen).await?;
+    let mesh_listener = TcpListener::bind(platform.mesh_addr).await?;
+    tracing::info!(node = %platform.host_name, listen = %platform.listen, "started");
+
+    let (events, mut inbox) = mpsc::unbounded_channel::<Event>();
+    let (http_tx, mut http_rx) = mpsc::channel::<Incoming>(USER_QUEUE_MAX);
+    let sockets = platform.params.resources.max_sockets as f64 * PUBLIC_SOCKET_SHARE;
+    tokio::spawn(http::serve(public, sockets as usize, http_tx));
+    let (mesh_tx, mut mesh_rx) = mpsc::unbounded_channel();
+    tokio::spawn(mesh::serve(mesh_listener, mesh_tx));
+    let mut dialers: HashMap<NodeName, mpsc::Sender<MeshMessage>> = HashMap::new();
+    for peer in &platform.others {
+        let (tx, rx) = mpsc::channel(32);
+        tokio::spawn(mesh::dial(peer.peer_addr, rx));
+        dialers.insert(peer.host_name.clone(), tx);
+    }
+    let client = Client::start();
+    let Some(mut node) = Node::new(settings.clone(), Instant::now()) else {
+        return Err(std::io::Error::other("histogram bounds"));
+    };
+    let mut replies: HashMap<u64, oneshot::Sender<Response>> = HashMap::new();
+    let mut next_ticket = FIRST_TICKET;
+    let mut tick = tokio::time::interval(TICK / 2);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let event = tokio::select! {
+            Some(event) = inbox.recv() => event,
+            Some(incoming) = http_rx.recv() => {
+                next_ticket += 1;
+                replies.insert(next_ticket, incoming.reply);
+                Event::Http(next_ticket, incoming.request)
+            }
+            Some(message) = mesh_rx.recv() => Event::Mesh(message),
+            _ = tick.tick() => Event::Tick,
+        };
+        node.handle(event, Instant::now());
+        for effect in node.out.drain(..) {
+            match effect {
+                Effect::Reply(ticket, response) => {
+                    if let Some(reply) = replies.remove(&ticket) {
+                        let _ = reply.send(response);
+                    }
+                }
+                Effect::Mesh(peer, message) => {
+                    if let Some(dialer) = dialers.get(&peer) {
+                        let _ = dialer.try_send(message);
+                    }
+                }
+                Effect::State(id, call) => {
+                    let (client, events) = (client.clone(), events.clone());
+                    let address = platform.external.state;
+                    tokio::spawn(async move {
+                        let (request, within) = call.request();
+                        let result = client.call(address, request, within).await;
+                        let _ = events.send(Event::State(id, call.reply(result)));
+                    });
+                }
+                Effect::Cloud(id, call) => {
+                    let (client, events) = (client.clone(), events.clone());
+                    let address = platform.external.cloud;
+                    tokio::spawn(async move {
+                        let result = client.call(address, call.request(), CLOUD_TIMEOUT).await;
+                        let _ = events.send(Event::Cloud(id, result));
+                    });
+                }
+                Effect::Direct(machine, address, direct) => {
+                    let (client, events) = (client.clone(), events.clone());
+                    tokio::spawn(async move {
+                        let event = send_direct(&client, machine, address, direct).await;
+                        let _ = events.send(event);
+                    });
+                }
+            }
+        }
+    }
+}
+
+async fn send_direct(
+    client: &Client,
+    machine: MachineId,
+    address: SocketAddr,
+    direct: Direct,
+) -> Event {
+    let (request, sent) = match direct {
+        Direct::Status => {
+            (Request { method: Method::Get, target: "/status".into(), body: Vec::new() }, None)
+        }
+        Direct::Do(orders) => {
+            let body = wire::encode(&orders);
+            (Request { method: Method::Post, target: "/do".into(), body }, Some(orders))
+        }
+    };
+    let result = client.call(address, request, WORKER_TIMEOUT).await.and_then(|response| {
+        match response.status {
+            200 | 409 => wire::decode(&response.body).map_err(|_| CallError::Unknown),
+            _ => Err(CallError::NotSent),
+        }
+    });
+    Event::Direct(machine, sent, result)
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,479 @@
+//! The decision of what runs where: capped baskets filled first fit in index order.
+//!
+//! Pure: the caller hands in machines as [`Bin`]s and waiting tasks as [`Ask`]s in order of
+//! service, and gets placements and wishes for new machines. `docs/design.md` says which parts
+//! are the paper's.
+
+use crate::ids::Amount;
+use crate::wire::Urgency;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Basket {
+    Light,
+    Heavy,
+}
+
+/// A machine as placement sees it.
+#[derive(Debug, Clone)]
+pub struct Bin {
+    /// The fixed index; bins are handed in sorted by it.
+    pub index: u64,
+    pub zone: usize,
+    pub flavor: usize,
+    pub spot: bool,
+    pub free: Amount,
+    /// None: in the pool.
+    pub basket: Option<Basket>,
+    /// False for a machine that is still booting: work is booked on it, not started.
+    pub ready: bool,
+    /// Images that it is believed to have.
+    pub images: Vec<u32>,
+}
+
+/// Waiting tasks of one job; they are all alike.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub team: usize,
+    pub urgency: Urgency,
+    pub need: Amount,
+    pub basket: Basket,
+    pub count: u32,
+    pub zone: Option<usize>,
+    /// None: any.
+    pub flavors: Option<Vec<usize>>,
+    pub spot: bool,
+    /// How many more tasks each zone may hold (spread); `u32::MAX` where nothing limits it.
+    pub zone_room: Vec<u32>,
+    pub one_zone: bool,
+    pub image: u32,
+    /// Indices of machines on which tasks of this job failed.
+    pub avoid: Vec<u64>,
+}
+
+/// A kind of machine that could be rented.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    pub flavor: usize,
+    pub zone: usize,
+    pub spot: bool,
+    pub price: f64,
+    pub size: Amount,
+    /// How many may still be asked for.
+    pub most: u32,
+    /// Machines of ours in this zone already; renting goes where there are fewest.
+    pub held: u32,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Input {
+    pub bins: Vec<Bin>,
+    /// In order of service.
+    pub asks: Vec<Ask>,
+    /// What each team may still use.
+    pub team_room: Vec<Amount>,
+    pub offers: Vec<Offer>,
+    /// Machines that the heavy basket may hold.
+    pub heavy_cap: usize,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// (ask, bin): start one task of the ask there now.
+    pub places: Vec<(usize, usize)>,
+    /// (ask, tasks): those booked on machines that are still booting or now to be rented.
+    pub booked: Vec<(usize, u32)>,
+    /// (ask, tasks): those for which there is neither room nor an offer.
+    pub short: Vec<(usize, u32)>,
+    /// How many machines of each offer to rent.
+    pub hires: Vec<u32>,
+}
+
+/// Heavy: all GPUs of the largest GPU type, or over the threshold of any resource of the
+/// largest machine it may use.
+pub fn basket_of(need: &Amount, sizes: &[Amount], threshold: f64) -> Basket {
+    let most = |f: fn(&Amount) -> u64| sizes.iter().map(f).max().unwrap_or(0);
+    let gpus = most(|a| a.gpu);
+    if need.gpu > 0 {
+        return if gpus > 0 && need.gpu >= gpus { Basket::Heavy } else { Basket::Light };
+    }
+    let over = |need: u64, whole: u64| need as f64 > whole as f64 * threshold;
+    if over(need.cpu, most(|a| a.cpu)) || over(need.ram, most(|a| a.ram)) {
+        Basket::Heavy
+    } else {
+        Basket::Light
+    }
+}
+
+fn allowed(ask: &Ask, zone: usize, flavor: usize, spot: bool) -> bool {
+    (ask.spot || !spot)
+        && ask.zone.is_none_or(|z| z == zone)
+        && ask.flavors.as_ref().is_none_or(|list| list.contains(&flavor))
+}
+
+/// The order in which an ask looks at bins: machines that are up before booting ones, spot
+/// before ordinary, its own basket before the pool, those that have the image before those that
+/// have not, then the fixed index. For the most urgent work the image goes before the basket:
+/// a fetch takes longer than its users wait.
+fn rank(ask: &Ask, bin: &Bin) -> (bool, bool, bool, bool, u64) {
+    let cold = !bin.images.contains(&ask.image);
+    let pool = bin.basket.is_none();
+    let (first, second) =
+        if ask.urgency == Urgency::Production { (cold, pool) } else { (pool, cold) };
+    (!bin.ready, !bin.spot, first, second, bin.index)
+}
+
+struct Planner {
+    bins: Vec<Bin>,
+    offers: Vec<Offer>,
+    team_room: Vec<Amount>,
+    /// Bins at and after this one are not rented yet.
+    real: usize,
+    heavy_cap: usize,
+    plan: Plan,
+}
+
+impl Planner {
+    fn heavy_count(&self) -> usize {
+        self.bins.iter().filter(|bin| bin.basket == Some(Basket::Heavy)).count()
+    }
+
+    /// Places up to the ask's count; gives how many found nothing.
+    fn serve(&mut self, at: usize, ask: &mut Ask, cap: usize) -> u32 {
+        let zones: Vec<usize> =
+            (0..ask.zone_room.len()).filter(|z| ask.zone.is_none_or(|only| only == *z)).collect();
+        if ask.one_zone && ask.zone.is_none() {
+            // All in one zone: the one in which most of them find room on machines that are up,
+            // and of those the first.
+            let room = |zone: usize| -> u64 {
+                self.bins
+                    .iter()
+                    .filter(|bin| bin.ready && bin.zone == zone)
+                    .filter(|bin| allowed(ask, zone, bin.flavor, bin.spot))
+                    .filter(|bin| bin.basket.is_none_or(|basket| basket == ask.basket))
+                    .map(|bin| copies(&bin.free, &ask.need).min(u64::from(ask.count)))
+                    .sum::<u64>()
+                    .min(u64::from(ask.count))
+            };
+            ask.zone = zones.iter().copied().rev().max_by_key(|zone| room(*zone));
+        }
+        let mut left = ask.count;
+        let mut booked = 0;
+        let mut order: Vec<usize> = (0..self.bins.len())
+            .filter(|&i| {
+                let bin = &self.bins[i];
+                allowed(ask, bin.zone, bin.flavor, bin.spot)
+                    && bin.basket.is_none_or(|basket| basket == ask.basket)
+                    && !ask.avoid.contains(&bin.index)
+                    && ask.need.fits(&bin.free)
+            })
+            .collect();
+        order.sort_by_key(|&i| rank(ask, &self.bins[i]));
+        let mut heavy = self.heavy_count();
+        for i in order {
+            // The tasks are alike, so a bin that is full for one is full for all.
+            while left > 0 {
+                let bin = &self.bins[i];
+                let team = &self.team_room[ask.team];
+                if !ask.need.fits(team) || !ask.need.fits(&bin.free) || ask.zone_room[bin.zone] == 0
+                {
+                    break;
+                }
+                if bin.basket.is_none() {
+                    if ask.basket == Basket::Heavy && heavy >= cap {
+                        break;
+                    }
+                    heavy += usize::from(ask.basket == Basket::Heavy);
+                }
+                self.put(i, ask);
+                left -= 1;
+                if self.bins[i].ready {
+                    self.plan.places.push((at, i));
+                } else {
+                    booked += 1;
+                }
+            }
+        }
+        while left > 0 && ask.need.fits(&self.team_room[ask.team]) {
+            if ask.basket == Basket::Heavy && heavy >= cap {
+                break;
+            }
+            let Some(i) = self.rent(ask) else { break };
+            heavy += usize::from(ask.basket == Basket::Heavy);
+            while left > 0
+                && ask.need.fits(&self.bins[i].free)
+                && ask.need.fits(&self.team_room[ask.team])
+                && ask.zone_room[self.bins[i].zone] > 0
+            {
+                self.put(i, ask);
+                left -= 1;
+                booked += 1;
+            }
+        }
+        if booked > 0 {
+            self.plan.booked.push((at, booked));
+        }
+        left
+    }
+
+    fn put(&mut self, i: usize, ask: &mut Ask) {
+        let bin = &mut self.bins[i];
+        bin.free = bin.free.minus(&ask.need);
+        bin.basket = Some(ask.basket);
+        let zone = bin.zone;
+        if ask.zone_room[zone] != u32::MAX {
+            ask.zone_room[zone] -= 1;
+        }
+        let team = &mut self.team_room[ask.team];
+        *team = team.minus(&ask.need);
+    }
+
+    /// Opens a bin for the cheapest offer that the ask may use; among equals, in the zone that
+    /// holds fewest machines.
+    fn rent(&mut self, ask: &Ask) -> Option<usize> {
+        let choice = (0..self.offers.len())
+            .filter(|&i| {
+                let offer = &self.offers[i];
+                offer.most > 0
+                    && allowed(ask, offer.zone, offer.flavor, offer.spot)
+                    && ask.zone_room[offer.zone] > 0
+                    && ask.need.fits(&offer.size)
+            })
+            .min_by(|&a, &b| {
+                let (a, b) = (&self.offers[a], &self.offers[b]);
+                let per = |o: &Offer| o.price / copies(&o.size, &ask.need).max(1) as f64;
+                per(a).total_cmp(&per(b)).then(a.held.cmp(&b.held)).then(a.zone.cmp(&b.zone))
+            })?;
+        let offer = &mut self.offers[choice];
+        offer.most -= 1;
+        offer.held += 1;
+        self.plan.hires[choice] += 1;
+        self.bins.push(Bin {
+            index: u64::MAX,
+            zone: offer.zone,
+            flavor: offer.flavor,
+            spot: offer.spot,
+            free: offer.size,
+            basket: None,
+            ready: false,
+            images: Vec::new(),
+        });
+        debug_assert!(self.bins.len() > self.real);
+        Some(self.bins.len() - 1)
+    }
+}
+
+/// How many times `need` fits into `room`.
+pub fn copies(room: &Amount, need: &Amount) -> u64 {
+    let part = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
+    part(room.cpu, need.cpu).min(part(room.gpu, need.gpu)).min(part(room.ram, need.ram))
+}
+
+pub fn plan(input: Input) -> Plan {
+    let Input { bins, mut asks, team_room, offers, heavy_cap } = input;
+    let real = bins.len();
+    let hires = vec![0; offers.len()];
+    let mut planner = Planner {
+        bins,
+        offers,
+        team_room,
+        real,
+        heavy_cap,
+        plan: Plan { hires, ..Plan::default() },
+    };
+    let mut light_waits = false;
+    let mut held: Vec<(usize, u32)> = Vec::new();
+    for (at, ask) in asks.iter_mut().enumerate() {
+        let left = planner.serve(at, ask, planner.heavy_cap);
+        if left > 0 && ask.basket == Basket::Heavy {
+            held.push((at, left));
+        } else if left > 0 {
+            light_waits = true;
+            planner.plan.short.push((at, left));
+        }
+    }
+    for (at, mut left) in held {
+        // The cap yields while no light task waits.
+        if !light_waits {
+            asks[at].count = left;
+            left = planner.serve(at, &mut asks[at], usize::MAX);
+        }
+        if left > 0 {
+            planner.plan.short.push((at, left));
+        }
+    }
+    planner.plan
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::rngs::StdRng;
+    use rand::{Rng, SeedableRng};
+
+    /// The slow plain model: one task at a time, each looking at every bin afresh.
+    fn model(input: &Input) -> Vec<(usize, usize)> {
+        let mut bins = input.bins.clone();
+        let mut team = input.team_room.clone();
+        let mut places = Vec::new();
+        let mut waiting = Vec::new();
+        let mut light_waits = false;
+        let mut asks = input.asks.clone();
+        for round in 0..2 {
+            for (at, ask) in asks.iter_mut().enumerate() {
+                if round == 1 && (light_waits || !waiting.contains(&at)) {
+                    continue;
+                }
+                while ask.count > 0 {
+                    let heavy = bins.iter().filter(|b| b.basket == Some(Basket::Heavy)).count();
+                    let full = round == 0 && heavy >= input.heavy_cap;
+                    let fit = |b: &Bin| {
+                        b.ready
+                            && (!b.spot || ask.spot)
+                            && ask.zone.is_none_or(|z| z == b.zone)
+                            && ask.need.fits(&b.free)
+                            && ask.need.fits(&team[ask.team])
+                            && ask.zone_room[b.zone] > 0
+                            && !ask.avoid.contains(&b.index)
+                            && match b.basket {
+                                Some(basket) => basket == ask.basket,
+                                None => ask.basket == Basket::Light || !full,
+                            }
+                    };
+                    let best = (0..bins.len())
+                        .filter(|&i| fit(&bins[i]))
+                        .min_by_key(|&i| rank(ask, &bins[i]));
+                    let Some(i) = best else { break };
+                    bins[i].free = bins[i].free.minus(&ask.need);
+                    bins[i].basket = Some(ask.basket);
+                    team[ask.team] = team[ask.team].minus(&ask.need);
+                    if ask.zone_room[bins[i].zone] != u32::MAX {
+                        ask.zone_room[bins[i].zone] -= 1;
+                    }
+                    ask.count -= 1;
+                    places.push((at, i));
+                }
+                if round == 0 && ask.count > 0 {
+                    waiting.push(at);
+                    light_waits |= ask.basket == Basket::Light;
+                }
+            }
+        }
+        places
+    }
+
+    fn random_input(random: &mut StdRng) -> Input {
+        let size = Amount::room(16.0, 0.0, 64.0);
+        let bins = (0..random.random_range(0..12u64))
+            .map(|index| {
+                let used = Amount::need(f64::from(random.random_range(0..17u32)), 0.0, 0.0);
+                let basket = match random.random_range(0..3) {
+                    0 => Some(Basket::Heavy),
+                    1 => Some(Basket::Light),
+                    _ => None,
+                };
+                Bin {
+                    index,
+                    zone: random.random_range(0..3),
+                    flavor: 0,
+                    spot: random.random(),
+                    free: if basket.is_some() { size.minus(&used) } else { size },
+                    basket,
+                    ready: true,
+                    images: (0..3).filter(|_| random.random()).collect(),
+                }
+            })
+            .collect();
+        let asks = (0..random.random_range(0..8))
+            .map(|_| {
+                let cpus = f64::from(random.random_range(1..15u32));
+                let need = Amount::need(cpus, 0.0, cpus * 3.0);
+                let spread = random.random::<bool>();
+                Ask {
+                    team: random.random_range(0..2),
+                    urgency: if random.random() { Urgency::Production } else { Urgency::High },
+                    need,
+                    basket: basket_of(&need, &[size], 0.5),
+                    count: random.random_range(1..9),
+                    zone: random.random::<bool>().then(|| random.random_range(0..3)),
+                    flavors: None,
+                    spot: random.random(),
+                    zone_room: vec![if spread { 3 } else { u32::MAX }; 3],
+                    one_zone: false,
+                    image: random.random_range(0..3),
+                    avoid: (0..12).filter(|_| random.random_range(0..9) == 0).collect(),
+                }
+            })
+            .collect();
+        let room = Amount { cpu: random.random_range(0..90_000_000), gpu: 0, ram: u64::MAX };
+        Input { bins, asks, team_room: vec![room; 2], offers: vec![], heavy_cap: 3 }
+    }
+
+    #[test]
+    fn the_planner_places_as_the_plain_model_does() {
+        for seed in 0..3000 {
+            let input = random_input(&mut StdRng::seed_from_u64(seed));
+            let want = model(&input);
+            assert_eq!(plan(input).places, want, "seed {seed}");
+        }
+    }
+
+    fn ask(count: u32, cpus: f64) -> Ask {
+        let size = Amount::room(16.0, 0.0, 64.0);
+        let need = Amount::need(cpus, 0.0, 1.0);
+        Ask {
+            team: 0,
+            urgency: Urgency::High,
+            need,
+            basket: basket_of(&need, &[size], 0.5),
+            count,
+            zone: None,
+            flavors: None,
+            spot: true,
+            zone_room: vec![u32::MAX; 2],
+            one_zone: false,
+            image: 0,
+            avoid: vec![],
+        }
+    }
+
+    fn offer(zone: usize, spot: bool, price: f64) -> Offer {
+        Offer {
+            flavor: 0,
+            zone,
+            spot,
+            price,
+            size: Amount::room(16.0, 0.0, 64.0),
+            most: 2,
+            held: 0,
+        }
+    }
+
+    #[test]
+    fn what_finds_no_room_is_rented_cheapest_first_and_spread_over_zones() {
+        let unlimited = Amount { cpu: u64::MAX, gpu: 0, ram: u64::MAX };
+        let input = Input {
+            asks: vec![ask(24, 4.0)],
+            team_room: vec![unlimited],
+            offers: vec![offer(0, false, 0.9), offer(0, true, 0.3), offer(1, true, 0.3)],
+            heavy_cap: 1,
+            ..Input::default()
+        };
+        let plan = plan(input);
+        assert_eq!(plan.hires, [2, 2, 2]);
+        assert_eq!(plan.booked, [(0, 24)]);
+        assert!(plan.short.is_empty());
+    }
+
+    #[test]
+    fn one_team_at_its_limit_neither_runs_nor_rents() {
+        let input = Input {
+            asks: vec![ask(9, 4.0)],
+            team_room: vec![Amount { cpu: 8_000_000, gpu: 0, ram: u64::MAX }],
+            offers: vec![offer(0, true, 0.3)],
+            heavy_cap: 1,
+            ..Input::default()
+        };
+        let plan = plan(input);
+        assert_eq!((plan.hires, plan.booked, plan.short), (vec![1], vec![(0, 2)], vec![(0, 7)]));
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,222 @@
+//! What the platform hands over (JSON) and what operators may tune (YAML), both checked.
+
+use crate::constants::*;
+use crate::ids::{Amount, NodeName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    pub host_name: NodeName,
+    #[serde(default)]
+    pub location: String,
+    pub peer_addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct External {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+impl Team {
+    pub fn most(&self) -> Amount {
+        Amount { ram: u64::MAX, ..Amount::room(self.cpus_max, self.gpus_max, 0.0) }
+    }
+    pub fn guarantee(&self) -> Amount {
+        Amount { ram: u64::MAX, ..Amount::room(self.cpus, self.gpus, 0.0) }
+    }
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Resources {
+    #[serde(default)]
+    pub cpu: f64,
+    #[serde(default)]
+    pub memory_mb: f64,
+    pub max_sockets: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub resources: Resources,
+}
+
+/// The platform's settings file.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    pub host_name: NodeName,
+    #[serde(default)]
+    pub location: String,
+    pub listen: SocketAddr,
+    pub mesh_addr: SocketAddr,
+    #[serde(default)]
+    pub others: Vec<Peer>,
+    pub external: External,
+    pub params: Params,
+}
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    Text,
+    Json,
+}
+
+/// The operators' own settings.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    pub heavy_cap: f64,
+    pub heavy_threshold: f64,
+    pub hold_s: f64,
+    pub idle_return_s: f64,
+    pub warm_per_zone: f64,
+    pub log_format: LogFormat,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            heavy_cap: HEAVY_CAP,
+            heavy_threshold: HEAVY_THRESHOLD,
+            hold_s: HOLD_S,
+            idle_return_s: IDLE_RETURN_S,
+            warm_per_zone: WARM_PER_ZONE,
+            log_format: LogFormat::Text,
+        }
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{0}: cannot be read: {1}")]
+    Read(String, std::io::Error),
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    #[error("operator settings: {0}")]
+    Yaml(#[from] serde_yaml_ng::Error),
+    #[error("{}", .0.join("\n"))]
+    Faults(Vec<String>),
+}
+
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub platform: Platform,
+    pub operator: Operator,
+}
+
+impl Settings {
+    pub fn read(platform: &Path, operator: Option<&Path>) -> Result<Settings, SettingsError> {
+        let text = |path: &Path| {
+            std::fs::read_to_string(path)
+                .map_err(|error| SettingsError::Read(path.display().to_string(), error))
+        };
+        let operator = operator.map(text).transpose()?;
+        Settings::parse(&text(platform)?, operator.as_deref())
+    }
+
+    pub fn parse(platform: &str, operator: Option<&str>) -> Result<Settings, SettingsError> {
+        let platform: Platform = serde_json::from_str(platform)?;
+        let operator = match operator {
+            Some(text) if !text.trim().is_empty() => serde_yaml_ng::from_str(text)?,
+            _ => Operator::default(),
+        };
+        let settings = Settings { platform, operator };
+        let faults = settings.faults();
+        if faults.is_empty() { Ok(settings) } else { Err(SettingsError::Faults(faults)) }
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut range = |key: &str, value: f64, low: f64, high: f64| {
+            if !(value >= low && value <= high) {
+                faults.push(format!("{key}: {value} is not between {low} and {high}"));
+            }
+        };
+        let p = &self.platform.params;
+        range("params.workers.report_s", p.workers.report_s, 0.1, 600.0);
+        range("params.workers.lease_s", p.workers.lease_s, 1.0, 3600.0);
+        range("params.workers.cancel_s", p.workers.cancel_s, 1.0, 3600.0);
+        range("params.state.rps", p.state.rps, 1.0, 1e6);
+        range("params.state.write_rps", p.state.write_rps, 1.0, 1e6);
+        range("params.state.value_kb", p.state.value_kb, 2.0, 60.0);
+        range("params.state.txn_ops", p.state.txn_ops as f64, 2.0, 1e5);
+        range("params.cloud.rps", p.cloud.rps, 0.1, 1e5);
+        range("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0, 600.0);
+        range("params.resources.max_sockets", p.resources.max_sockets as f64, 20.0, 1e6);
+        let o = &self.operator;
+        range("heavy_cap", o.heavy_cap, 0.0, 1.0);
+        range("heavy_threshold", o.heavy_threshold, 0.0, 1.0);
+        range("hold_s", o.hold_s, 0.0, 3600.0);
+        range("idle_return_s", o.idle_return_s, 0.0, 86_400.0);
+        range("warm_per_zone", o.warm_per_zone, 0.0, 1000.0);
+        for team in &p.teams {
+            range(&format!("team {} cpus", team.name), team.cpus, 0.0, 1e9);
+            range(&format!("team {} cpus_max", team.name), team.cpus_max, 0.0, 1e9);
+            range(&format!("team {} gpus", team.name), team.gpus, 0.0, 1e9);
+            range(&format!("team {} gpus_max", team.name), team.gpus_max, 0.0, 1e9);
+        }
+        if p.zones.is_empty() {
+            faults.push("params.zones: at least one zone is needed".into());
+        }
+        if self.platform.others.iter().any(|peer| peer.host_name == self.platform.host_name) {
+            faults.push(format!("others: names this controller, {}", self.platform.host_name));
+        }
+        faults
+    }
+
+    pub fn worker_lease(&self) -> Duration {
+        Duration::from_secs_f64(self.platform.params.workers.lease_s)
+    }
+    pub fn report_every(&self) -> Duration {
+        Duration::from_secs_f64(self.platform.params.workers.report_s)
+    }
+    /// Tasks whose done marks fit one value: a mark takes a quarter of a byte in hexadecimal,
+    /// and a quarter of the value is planned for them.
+    pub fn chunk_tasks(&self) -> u32 {
+        (self.platform.params.state.value_kb * 1024.0) as u32
+    }
+}
