--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,754 @@
+//! The state-service client: a core without clock or I/O that owns the cache, the budget, the
+//! read-index and the group commit. The actor in [`crate::node`] carries its calls out.
+
+use crate::constants::*;
+use crate::http::{CallError, Method, Request, Response};
+use crate::ids::{JobId, LeaseId, MachineId, NodeName, Revision, Token};
+use crate::jobs::{self, CHUNK_PREFIX, JOB_PREFIX, Jobs};
+use crate::wire::{self, Committed, Data, Flavor, LeaseLife, LeaseName, Txn, Write};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Everything of ours lies under this prefix, and one follow covers it.
+pub const PREFIX: &str = "t/";
+pub const LEADER_KEY: &str = "t/a/leader";
+pub const TOKEN_KEY: &str = "t/a/token";
+pub const FLAVORS_KEY: &str = "t/a/flavors";
+pub const MACHINE_PREFIX: &str = "t/m/";
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: NodeName,
+    pub token: Token,
+}
+
+/// A machine on which tasks may have been started: the record is committed before the first
+/// start and removed once the machine is surely gone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub address: String,
+    pub flavor: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// What this process knows of the state service's content.
+#[derive(Debug, Default)]
+pub struct Cache {
+    pub loaded: bool,
+    /// All changes up to here are in.
+    pub rev: Revision,
+    pub jobs: Jobs,
+    pub leader: Option<(LeaderRecord, Revision)>,
+    pub token: (Token, Revision),
+    pub flavors: (Vec<Flavor>, Revision),
+    pub machines: HashMap<MachineId, (MachineRecord, Revision)>,
+}
+
+impl Cache {
+    /// Takes in one key's value or, with no value, its removal. Older revisions are ignored.
+    fn take(&mut self, key: &str, value: Option<&Data>, rev: Revision) -> Option<JobId> {
+        if let Some(id) = key.strip_prefix(JOB_PREFIX) {
+            let id = JobId::new(id);
+            if let Some(value) = value {
+                self.jobs.put_job(id.clone(), value, rev);
+            }
+            return Some(id);
+        } else if let Some(rest) = key.strip_prefix(CHUNK_PREFIX) {
+            if let Some(value) = value {
+                self.jobs.put_chunk(rest, value, rev);
+            }
+        } else if let Some(id) = key.strip_prefix(MACHINE_PREFIX) {
+            let id = MachineId::new(id);
+            if self.machines.get(&id).is_some_and(|(_, old)| *old >= rev) {
+                return None;
+            }
+            match value.map(Data::deserialized) {
+                Some(Ok(record)) => {
+                    self.machines.insert(id, (record, rev));
+                }
+                _ => {
+                    self.machines.remove(&id);
+                }
+            }
+        } else if key == LEADER_KEY {
+            if self.leader.as_ref().is_some_and(|(_, old)| *old >= rev) {
+                return None;
+            }
+            self.leader = value.and_then(|v| v.deserialized().ok()).map(|record| (record, rev));
+        } else if key == TOKEN_KEY {
+            if let Some(token) = value.and_then(|v| v.deserialized().ok())
+                && self.token.1 < rev
+            {
+                self.token = (token, rev);
+            }
+        } else if key == FLAVORS_KEY
+            && let Some(flavors) = value.and_then(|v| v.deserialized().ok())
+            && self.flavors.1 < rev
+        {
+            self.flavors = (flavors, rev);
+        }
+        None
+    }
+}
+
+#[derive(Debug, Clone)]
+pub enum StateCall {
+    Commit(Txn),
+    Follow { after: Revision, wait: Duration },
+    Range { after: Option<String> },
+    NewLease(Duration),
+    Touch(LeaseId),
+    DropLease(LeaseId),
+}
+
+#[derive(Debug)]
+pub enum StateReply {
+    Committed(Revision),
+    Conflict(Vec<String>),
+    NoLease,
+    News(wire::News),
+    Page(wire::Page),
+    Lease(LeaseId),
+    Done,
+    /// 404 for a lease, 410 for a follow.
+    Gone,
+    /// Surely not executed: an outage, a budget, or no connection.
+    Refused,
+    /// May have been executed, or may yet be.
+    Unknown,
+}
+
+impl StateCall {
+    pub fn request(&self) -> (Request, Duration) {
+        let make = |method, target: String, body| (Request { method, target, body }, STATE_TIMEOUT);
+        match self {
+            StateCall::Commit(txn) => make(Method::Post, "/commit".into(), wire::encode(txn)),
+            StateCall::Follow { after, wait } => {
+                let target =
+                    format!("/follow?starts={PREFIX}&after={after}&waitMs={}", wait.as_millis());
+                let (request, within) = make(Method::Get, target, Vec::new());
+                (request, within + *wait)
+            }
+            StateCall::Range { after } => {
+                let after = after.as_ref().map(|key| format!("&after={key}")).unwrap_or_default();
+                make(
+                    Method::Get,
+                    format!("/kv?starts={PREFIX}{after}&most={PAGE_ROWS}"),
+                    Vec::new(),
+                )
+            }
+            StateCall::NewLease(life) => {
+                let body = wire::encode(&LeaseLife { ttl_ms: life.as_millis() as u64 });
+                make(Method::Post, "/leases".into(), body)
+            }
+            StateCall::Touch(lease) => {
+                make(Method::Post, format!("/leases/{lease}/touch"), Vec::new())
+            }
+            StateCall::DropLease(lease) => {
+                make(Method::Delete, format!("/leases/{lease}"), Vec::new())
+            }
+        }
+    }
+
+    pub fn reply(&self, result: Result<Response, CallError>) -> StateReply {
+        let response = match result {
+            Ok(response) => response,
+            Err(CallError::NotSent) => return StateReply::Refused,
+            Err(CallError::Unknown) => return StateReply::Unknown,
+        };
+        let read = || -> Option<StateReply> {
+            Some(match (self, response.status) {
+                (StateCall::Commit(_), 200) => {
+                    StateReply::Committed(wire::decode::<Committed>(&response.body).ok()?.rev)
+                }
+                (StateCall::Commit(_), 409) => {
+                    StateReply::Conflict(wire::decode::<Committed>(&response.body).ok()?.failed)
+                }
+                (StateCall::Commit(_), 400) => StateReply::NoLease,
+                (StateCall::Follow { .. }, 200) => {
+                    StateReply::News(wire::decode(&response.body).ok()?)
+                }
+                (StateCall::Range { .. }, 200) => {
+                    StateReply::Page(wire::decode(&response.body).ok()?)
+                }
+                (StateCall::NewLease(_), 200) => {
+                    StateReply::Lease(wire::decode::<LeaseName>(&response.body).ok()?.lease)
+                }
+                (StateCall::Touch(_) | StateCall::DropLease(_), 200..=204) => StateReply::Done,
+                (_, 404 | 410) => StateReply::Gone,
+                (_, 429 | 503) => StateReply::Refused,
+                _ => return None,
+            })
+        };
+        read().unwrap_or(StateReply::Unknown)
+    }
+}
+
+/// Whose change an item is: the order of service when the budget is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    User,
+    Completion,
+    Rest,
+}
+
+/// What asked for a change; handed back with its outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// A user's request, by its ticket.
+    User(u64),
+    Completion(JobId),
+    MachineKnown(MachineId),
+    MachineGone(MachineId),
+    Flavors,
+}
+
+#[derive(Debug, Clone)]
+pub struct Item {
+    pub rank: Rank,
+    pub origin: Origin,
+    pub change: jobs::Change,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Committed,
+    /// A guard failed: read again and think again.
+    Conflict,
+    /// Surely not done.
+    Refused,
+    /// Perhaps done, perhaps yet to be.
+    Unknown,
+}
+
+/// What the core tells its owner.
+#[derive(Debug)]
+pub enum StateEvent {
+    Loaded,
+    /// Jobs whose records may have changed.
+    Changed(Vec<JobId>),
+    /// The cache is at least as new as the store was when the ticket was taken.
+    Synced(u64),
+    Outcome(Origin, Outcome),
+    /// Answers to the election's own calls.
+    Election(StateCall, Instant, StateReply),
+}
+
+#[derive(Debug)]
+enum Doing {
+    Batch { items: Vec<Item>, txn: Txn },
+    Follow,
+    Sync { tickets: Vec<u64> },
+    Page,
+    Election(StateCall, Instant),
+}
+
+/// A bucket that allows bursts of one second's worth.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    room: f64,
+    burst: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    pub fn new(rate: f64, burst_s: f64, now: Instant) -> Bucket {
+        Bucket { rate, room: rate * burst_s, burst: burst_s, at: now }
+    }
+    pub fn set_rate(&mut self, rate: f64, now: Instant) {
+        self.refill(now);
+        self.rate = rate;
+        self.room = self.room.min(rate * self.burst);
+    }
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.room = (self.room + passed * self.rate).min((self.rate * self.burst).max(1.0));
+        self.at = now;
+    }
+    pub fn has(&mut self, n: f64, now: Instant) -> bool {
+        self.refill(now);
+        // More than a whole bucket is let through when the bucket is full.
+        self.room >= n.min((self.rate * self.burst).max(1.0))
+    }
+    pub fn take(&mut self, n: f64, now: Instant) {
+        self.refill(now);
+        self.room -= n;
+    }
+}
+
+/// Pages being read after a start, a 410 or an outage.
+#[derive(Debug, Default)]
+struct Loading {
+    after: Option<String>,
+    first: Option<Revision>,
+    last: Revision,
+    machines: HashSet<MachineId>,
+    leader: bool,
+}
+
+pub struct StateCore {
+    pub cache: Cache,
+    txn_ops: usize,
+    loading: Option<Loading>,
+    requests: Bucket,
+    writes: Bucket,
+    items: Vec<Item>,
+    batch_in_flight: bool,
+    batch_after: Instant,
+    follow_in_flight: bool,
+    follow_after: Instant,
+    sync_in_flight: bool,
+    sync_after: Instant,
+    sync_wanted: Vec<u64>,
+    doing: HashMap<u64, Doing>,
+    next_call: u64,
+    /// When the service last answered us with anything but a refusal.
+    pub last_ok: Option<Instant>,
+    rps: f64,
+    write_rps: f64,
+    nodes: f64,
+    pub calls: VecDeque<(u64, StateCall)>,
+    pub events: VecDeque<StateEvent>,
+}
+
+impl StateCore {
+    pub fn new(rps: f64, write_rps: f64, txn_ops: usize, nodes: usize, now: Instant) -> Self {
+        let mut core = StateCore {
+            cache: Cache::default(),
+            txn_ops,
+            loading: Some(Loading::default()),
+            requests: Bucket::new(rps, 1.0, now),
+            writes: Bucket::new(write_rps, 1.0, now),
+            items: Vec::new(),
+            batch_in_flight: false,
+            batch_after: now,
+            follow_in_flight: false,
+            follow_after: now,
+            sync_in_flight: false,
+            sync_after: now,
+            sync_wanted: Vec::new(),
+            doing: HashMap::new(),
+            next_call: 0,
+            last_ok: None,
+            rps: rps * STATE_BUDGET,
+            write_rps: write_rps * STATE_BUDGET,
+            nodes: nodes as f64,
+            calls: VecDeque::new(),
+            events: VecDeque::new(),
+        };
+        core.set_leading(false, now);
+        core
+    }
+
+    /// The leader has the larger part of the budget.
+    pub fn set_leading(&mut self, leading: bool, now: Instant) {
+        let share = if self.nodes <= 1.0 {
+            1.0
+        } else if leading {
+            LEADER_BUDGET
+        } else {
+            (1.0 - LEADER_BUDGET) / (self.nodes - 1.0)
+        };
+        self.requests.set_rate(self.rps * share, now);
+        self.writes.set_rate(self.write_rps * share, now);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.items.len() + self.sync_wanted.len()
+    }
+
+    pub fn lost(&self, now: Instant) -> bool {
+        self.last_ok.is_none_or(|at| now.saturating_duration_since(at) > STATE_LOST)
+    }
+
+    fn call(&mut self, call: StateCall, doing: Doing, now: Instant) {
+        self.next_call += 1;
+        self.requests.take(1.0, now);
+        self.doing.insert(self.next_call, doing);
+        self.calls.push_back((self.next_call, call));
+    }
+
+    /// Asks that the ticket be told once the cache is as new as the store is now.
+    pub fn sync(&mut self, ticket: u64) {
+        self.sync_wanted.push(ticket);
+    }
+
+    pub fn push(&mut self, item: Item) {
+        let at = self.items.partition_point(|other| other.rank <= item.rank);
+        self.items.insert(at, item);
+    }
+
+    pub fn has_item(&self, origin: &Origin) -> bool {
+        self.items.iter().any(|item| item.origin == *origin)
+            || self.doing.values().any(|doing| {
+                matches!(doing, Doing::Batch { items, .. } if items.iter().any(|i| i.origin == *origin))
+            })
+    }
+
+    /// The election's calls go first and are never held for the budget: there are few.
+    pub fn election(&mut self, call: StateCall, now: Instant) {
+        self.call(call.clone(), Doing::Election(call, now), now);
+    }
+
+    pub fn poll(&mut self, now: Instant) {
+        if let Some(loading) = &self.loading {
+            let idle = !self.doing.values().any(|doing| matches!(doing, Doing::Page));
+            if idle && now >= self.follow_after && self.requests.has(1.0, now) {
+                let after = loading.after.clone();
+                self.call(StateCall::Range { after }, Doing::Page, now);
+            }
+            return;
+        }
+        // Renewals, which the election sends itself, must always find room.
+        let spare = 2.0;
+        if !self.sync_in_flight
+            && !self.sync_wanted.is_empty()
+            && now >= self.sync_after
+            && self.requests.has(1.0 + spare, now)
+        {
+            self.sync_in_flight = true;
+            let tickets = std::mem::take(&mut self.sync_wanted);
+            let call = StateCall::Follow { after: self.cache.rev, wait: Duration::ZERO };
+            self.call(call, Doing::Sync { tickets }, now);
+        }
+        if !self.follow_in_flight && now >= self.follow_after && self.requests.has(1.0 + spare, now)
+        {
+            self.follow_in_flight = true;
+            let call = StateCall::Follow { after: self.cache.rev, wait: FOLLOW_WAIT };
+            self.call(call, Doing::Follow, now);
+        }
+        if !self.batch_in_flight
+            && !self.items.is_empty()
+            && now >= self.batch_after
+            && self.requests.has(1.0 + spare, now)
+        {
+            self.send_batch(now);
+        }
+    }
+
+    /// Packs what waits, in order of rank, into one transaction; items that touch a key already
+    /// in it wait for the next.
+    fn send_batch(&mut self, now: Instant) {
+        let mut txn = Txn { guards: Vec::new(), writes: Vec::new() };
+        let mut taken: Vec<Item> = Vec::new();
+        let mut left: Vec<Item> = Vec::new();
+        let mut keys: HashSet<String> = HashSet::new();
+        let mut bytes = 0usize;
+        for item in std::mem::take(&mut self.items) {
+            let ops = txn.writes.len() + item.change.writes.len();
+            // JSON spells numbers and names longer than CBOR does, but by less than a half.
+            let size = wire::encode(&item.change.writes).len() * 3 / 2 + 100;
+            let fits = taken.is_empty()
+                || (ops <= self.txn_ops
+                    && txn.guards.len() + item.change.guards.len() < self.txn_ops * 4
+                    && bytes + size < BODY_MAX / 2);
+            // Later items wait too once one didn't fit, so that none is overtaken for ever.
+            let shares = item.change.writes.iter().any(|write| keys.contains(write.key()));
+            if !fits || shares || (!left.is_empty() && taken.len() > self.txn_ops) {
+                left.push(item);
+                continue;
+            }
+            if !self.writes.has(ops as f64, now) {
+                left.push(item);
+                continue;
+            }
+            bytes += size;
+            for write in &item.change.writes {
+                keys.insert(write.key().to_owned());
+                txn.writes.push(write.clone());
+            }
+            for guard in &item.change.guards {
+                if !txn.guards.iter().any(|g| g.key == guard.key) {
+                    txn.guards.push(guard.clone());
+                }
+            }
+            taken.push(item);
+        }
+        self.items = left;
+        if taken.is_empty() {
+            return;
+        }
+        self.writes.take(txn.writes.len() as f64, now);
+        self.batch_in_flight = true;
+        self.call(StateCall::Commit(txn.clone()), Doing::Batch { items: taken, txn }, now);
+    }
+
+    fn pause() -> Duration {
+        STATE_RETRY.mul_f64(1.0 + rand::rng().random::<f64>() / 2.0)
+    }
+
+    pub fn on_reply(&mut self, id: u64, reply: StateReply, now: Instant) {
+        let Some(doing) = self.doing.remove(&id) else { return };
+        if !matches!(reply, StateReply::Refused | StateReply::Unknown) {
+            self.last_ok = Some(now);
+        }
+        match doing {
+            Doing::Election(call, sent) => {
+                if let (StateCall::Commit(txn), StateReply::Committed(rev)) = (&call, &reply) {
+                    self.apply_own(txn, *rev);
+                }
+                self.events.push_back(StateEvent::Election(call, sent, reply));
+            }
+            Doing::Page => self.on_page(reply, now),
+            Doing::Follow => {
+                self.follow_in_flight = false;
+                match reply {
+                    StateReply::News(news) => {
+                        self.follow_after = now + FOLLOW_PAUSE;
+                        self.take_news(news);
+                    }
+                    StateReply::Gone => self.reload(),
+                    _ => self.follow_after = now + Self::pause(),
+                }
+            }
+            Doing::Sync { tickets } => {
+                self.sync_in_flight = false;
+                match reply {
+                    StateReply::News(news) => {
+                        self.sync_after = now + SYNC_PAUSE;
+                        self.take_news(news);
+                        for ticket in tickets {
+                            self.events.push_back(StateEvent::Synced(ticket));
+                        }
+                    }
+                    other => {
+                        if matches!(other, StateReply::Gone) {
+                            self.reload();
+                        }
+                        self.sync_after = now + Self::pause();
+                        self.sync_wanted.extend(tickets);
+                    }
+                }
+            }
+            Doing::Batch { items, txn } => {
+                self.batch_in_flight = false;
+                match reply {
+                    StateReply::Committed(rev) => {
+                        self.apply_own(&txn, rev);
+                        for item in items {
+                            let event = StateEvent::Outcome(item.origin, Outcome::Committed);
+                            self.events.push_back(event);
+                        }
+                    }
+                    StateReply::Conflict(failed) => {
+                        for item in items {
+                            let guards = &item.change.guards;
+                            if guards.iter().any(|guard| failed.contains(&guard.key)) {
+                                let event = StateEvent::Outcome(item.origin, Outcome::Conflict);
+                                self.events.push_back(event);
+                            } else {
+                                self.push(item);
+                            }
+                        }
+                    }
+                    other => {
+                        self.batch_after = now + Self::pause();
+                        let outcome = match other {
+                            StateReply::Refused => Outcome::Refused,
+                            _ => Outcome::Unknown,
+                        };
+                        for item in items {
+                            self.events.push_back(StateEvent::Outcome(item.origin, outcome));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// A commit of ours is in the cache at once; the follow brings it again and is ignored.
+    fn apply_own(&mut self, txn: &Txn, rev: Revision) {
+        if rev <= self.cache.rev {
+            // The follow was faster, and may already have brought what came after.
+            return;
+        }
+        let mut changed = Vec::new();
+        for write in &txn.writes {
+            let value = match write {
+                Write::Put { data, .. } => Some(data),
+                Write::Delete { .. } => None,
+            };
+            changed.extend(self.cache.take(write.key(), value, rev));
+        }
+        if !changed.is_empty() {
+            self.events.push_back(StateEvent::Changed(changed));
+        }
+    }
+
+    fn take_news(&mut self, news: wire::News) {
+        let mut changed = Vec::new();
+        for change in news.news {
+            if change.rev <= self.cache.rev {
+                continue;
+            }
+            if let Some(key) = &change.put {
+                changed.extend(self.cache.take(key, change.data.as_ref(), change.rev));
+            } else if let Some(key) = &change.delete {
+                changed.extend(self.cache.take(key, None, change.rev));
+            }
+        }
+        self.cache.rev = self.cache.rev.max(news.rev);
+        if !changed.is_empty() {
+            self.events.push_back(StateEvent::Changed(changed));
+        }
+    }
+
+    fn reload(&mut self) {
+        tracing::info!(rev = %self.cache.rev, "cache is too old, reading all keys again");
+        self.loading = Some(Loading::default());
+    }
+
+    fn on_page(&mut self, reply: StateReply, now: Instant) {
+        let Some(loading) = &mut self.loading else { return };
+        let StateReply::Page(page) = reply else {
+            self.follow_after = now + Self::pause();
+            return;
+        };
+        loading.first.get_or_insert(page.rev);
+        loading.last = page.rev;
+        loading.after = page.rows.last().map(|row| row.key.clone()).or(loading.after.take());
+        let mut changed = Vec::new();
+        for row in &page.rows {
+            if let Some(id) = row.key.strip_prefix(MACHINE_PREFIX) {
+                loading.machines.insert(MachineId::new(id));
+            }
+            loading.leader |= row.key == LEADER_KEY;
+            changed.extend(self.cache.take(&row.key, Some(&row.data), row.rev));
+        }
+        if !changed.is_empty() {
+            self.events.push_back(StateEvent::Changed(changed));
+        }
+        if page.truncated {
+            return;
+        }
+        // What was cached before this reading and isn't there any more has been removed. Keys
+        // written meanwhile have newer revisions and stay. The follow goes on from the first
+        // page's revision, so that whatever changed between pages comes again.
+        let Some(loading) = self.loading.take() else { return };
+        let first = loading.first.unwrap_or(page.rev);
+        let keep = |id: &MachineId, rev: Revision| loading.machines.contains(id) || rev > first;
+        self.cache.machines.retain(|id, (_, rev)| keep(id, *rev));
+        if !loading.leader && self.cache.leader.as_ref().is_some_and(|(_, rev)| *rev <= first) {
+            self.cache.leader = None;
+        }
+        self.cache.rev = first;
+        if !self.cache.loaded {
+            self.cache.loaded = true;
+            self.events.push_back(StateEvent::Loaded);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::Guard;
+
+    fn core(now: Instant) -> StateCore {
+        let mut core = StateCore::new(100.0, 100.0, 4, 1, now);
+        core.poll(now);
+        let (id, _) = core.calls.pop_front().unwrap();
+        let page = wire::Page { rows: vec![], truncated: false, rev: Revision(5) };
+        core.on_reply(id, StateReply::Page(page), now);
+        core
+    }
+
+    fn item(ticket: u64, key: &str) -> Item {
+        Item {
+            rank: Rank::User,
+            origin: Origin::User(ticket),
+            change: jobs::Change {
+                guards: vec![Guard { key: key.into(), rev: Revision(0) }],
+                writes: vec![Write::Put { key: key.into(), data: Data::from(1), hold: None }],
+            },
+        }
+    }
+
+    fn commit(core: &mut StateCore, now: Instant) -> (u64, Txn) {
+        core.poll(now);
+        while let Some((id, call)) = core.calls.pop_front() {
+            if let StateCall::Commit(txn) = call {
+                return (id, txn);
+            }
+        }
+        panic!("no commit was sent")
+    }
+
+    fn outcomes(core: &mut StateCore) -> Vec<(Origin, Outcome)> {
+        std::iter::from_fn(|| core.events.pop_front())
+            .filter_map(|event| match event {
+                StateEvent::Outcome(origin, outcome) => Some((origin, outcome)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    #[test]
+    fn one_failed_guard_costs_only_its_own_item() {
+        let now = Instant::now();
+        let mut core = core(now);
+        for (ticket, key) in [(1, "t/x/1"), (2, "t/x/2"), (3, "t/x/3")] {
+            core.push(item(ticket, key));
+        }
+        let (id, txn) = commit(&mut core, now);
+        assert_eq!(txn.writes.len(), 3);
+        core.on_reply(id, StateReply::Conflict(vec!["t/x/2".into()]), now);
+        assert_eq!(outcomes(&mut core), [(Origin::User(2), Outcome::Conflict)]);
+        let (id, txn) = commit(&mut core, now);
+        assert_eq!(txn.writes.len(), 2);
+        core.on_reply(id, StateReply::Committed(Revision(9)), now);
+        assert_eq!(outcomes(&mut core).len(), 2);
+    }
+
+    #[test]
+    fn a_transaction_keeps_its_limits_and_never_writes_a_key_twice() {
+        let now = Instant::now();
+        let mut core = core(now);
+        for ticket in 0..9 {
+            core.push(item(ticket, &format!("t/x/{}", ticket / 2)));
+        }
+        let mut seen = 0;
+        for rev in 0..20 {
+            if core.items.is_empty() {
+                break;
+            }
+            let (id, txn) = commit(&mut core, now);
+            assert!(txn.writes.len() <= 4);
+            let keys: HashSet<_> = txn.writes.iter().map(|w| w.key().to_owned()).collect();
+            assert_eq!(keys.len(), txn.writes.len());
+            seen += txn.writes.len();
+            core.on_reply(id, StateReply::Committed(Revision(10 + rev)), now);
+        }
+        assert_eq!(seen, 9);
+    }
+
+    #[test]
+    fn a_sync_is_told_only_by_an_answer_sent_after_it_was_asked() {
+        let now = Instant::now();
+        let mut core = core(now);
+        core.sync(1);
+        core.poll(now);
+        core.sync(2);
+        let syncs: Vec<u64> = core
+            .calls
+            .drain(..)
+            .filter(|(_, call)| matches!(call, StateCall::Follow { wait, .. } if wait.is_zero()))
+            .map(|(id, _)| id)
+            .collect();
+        core.on_reply(
+            syncs[0],
+            StateReply::News(wire::News { rev: Revision(7), news: vec![] }),
+            now,
+        );
+        let told: Vec<u64> = std::iter::from_fn(|| core.events.pop_front())
+            .filter_map(|e| if let StateEvent::Synced(t) = e { Some(t) } else { None })
+            .collect();
+        assert_eq!(told, [1]);
+        assert_eq!(core.cache.rev, Revision(7));
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,433 @@
+//! The messages of PROTOCOL, in its words on the wire and in the field's terms here.
+
+use crate::ids::{Attempt, JobId, LeaseId, MachineId, Revision, TaskId, Token};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+#[derive(Debug, thiserror::Error)]
+#[error("not the expected CBOR")]
+pub struct WireError;
+
+/// Reads exactly one CBOR item; anything behind it is an error.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    let mut rest = bytes;
+    let value = ciborium::from_reader(&mut rest).map_err(|_| WireError)?;
+    if rest.is_empty() { Ok(value) } else { Err(WireError) }
+}
+
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::new();
+    // Writing to memory fails only for types that refuse to serialize; ours never do.
+    let written = ciborium::into_writer(value, &mut out);
+    debug_assert!(written.is_ok());
+    out
+}
+
+impl Serialize for TaskId {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        TaskId::parse(&text).ok_or_else(|| serde::de::Error::custom("not a task name"))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    #[serde(rename = "sweep")]
+    Array,
+    #[serde(rename = "service")]
+    Service,
+}
+
+/// Declared from most to least urgent, so that the derived order is the order of work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Urgency {
+    #[serde(rename = "critical")]
+    Production,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "standard")]
+    Normal,
+    #[serde(rename = "best_effort")]
+    Low,
+}
+
+/// A job as its user describes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "nameId")]
+    pub id: JobId,
+    #[serde(rename = "runKind")]
+    pub class: String,
+    #[serde(rename = "owner")]
+    pub team: String,
+    pub shape: Shape,
+    pub urgency: Urgency,
+    #[serde(rename = "legs")]
+    pub tasks: u64,
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
+    #[serde(rename = "cards")]
+    pub gpus: f64,
+    #[serde(rename = "ramGb")]
+    pub ram_gb: f64,
+    #[serde(rename = "bundle")]
+    pub image: String,
+    #[serde(rename = "imageGb")]
+    pub image_gb: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub flavors: Option<Vec<String>>,
+    #[serde(rename = "hall", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(rename = "samePlace")]
+    pub one_zone: bool,
+    pub spread: bool,
+    #[serde(rename = "lendable")]
+    pub spot: bool,
+    #[serde(rename = "expectS")]
+    pub expect_s: f64,
+    #[serde(rename = "snapshotEveryS")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "snapshotS")]
+    pub save_s: f64,
+    #[serde(rename = "dueS", default, skip_serializing_if = "Option::is_none")]
+    pub due_s: Option<f64>,
+}
+
+/// Only the name, for requests whose other fields may be broken.
+#[derive(Debug, Deserialize)]
+pub struct JobName {
+    #[serde(rename = "nameId")]
+    pub id: JobId,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobStatus {
+    #[serde(rename = "pending")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "aborted")]
+    Cancelled,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct JobView {
+    #[serde(rename = "nameId")]
+    pub id: JobId,
+    pub status: JobStatus,
+    pub done: u64,
+    pub running: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "gathering")]
+    Waiting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "saving")]
+    Saving,
+    #[serde(rename = "ended")]
+    Exited,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ReportedTask {
+    #[serde(rename = "leg")]
+    pub task: TaskId,
+    #[serde(rename = "try")]
+    pub attempt: Attempt,
+    #[serde(rename = "status")]
+    pub state: TaskState,
+    #[serde(rename = "exitCause", default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "spindle")]
+    pub machine: MachineId,
+    #[serde(default)]
+    pub address: String,
+    pub flavor: String,
+    #[serde(rename = "hall")]
+    pub zone: String,
+    #[serde(rename = "lendable")]
+    pub spot: bool,
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    #[serde(rename = "tally")]
+    pub seq: u64,
+    #[serde(rename = "baton")]
+    pub token: Token,
+    #[serde(rename = "recallS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "legs", default)]
+    pub tasks: Vec<ReportedTask>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb")]
+pub enum Order {
+    #[serde(rename = "run")]
+    Start {
+        #[serde(rename = "leg")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+    #[serde(rename = "halt")]
+    Stop {
+        #[serde(rename = "leg")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        #[serde(rename = "windDownS")]
+        grace_s: f64,
+    },
+    #[serde(rename = "forget")]
+    Forget {
+        #[serde(rename = "leg")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Orders {
+    #[serde(rename = "baton")]
+    pub token: Token,
+    /// Only in direct commands.
+    #[serde(rename = "tenure", default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<u64>,
+    pub orders: Vec<Order>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Misdirected {
+    pub foreman: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Flavor {
+    pub name: String,
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
+    #[serde(rename = "cards")]
+    pub gpus: f64,
+    #[serde(rename = "ramGb")]
+    pub ram_gb: f64,
+    #[serde(rename = "cacheGb", default)]
+    pub cache_gb: f64,
+    #[serde(rename = "pullGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    #[serde(rename = "marketPrice")]
+    pub spot_price: f64,
+    #[serde(rename = "startupS")]
+    pub boot_s: f64,
+    #[serde(rename = "halls")]
+    pub zones: Vec<String>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Flavors {
+    pub flavors: Vec<Flavor>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Hire {
+    #[serde(rename = "hire")]
+    pub request: String,
+    pub flavor: String,
+    #[serde(rename = "hall")]
+    pub zone: String,
+    #[serde(rename = "lendable")]
+    pub spot: bool,
+    pub count: u32,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineNames {
+    #[serde(rename = "spindles")]
+    pub machines: Vec<MachineId>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedState {
+    Starting,
+    Running,
+    Failed,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Listed {
+    #[serde(rename = "nameId")]
+    pub machine: MachineId,
+    #[serde(default)]
+    pub address: Option<String>,
+    pub flavor: String,
+    #[serde(rename = "hall")]
+    pub zone: String,
+    #[serde(rename = "lendable")]
+    pub spot: bool,
+    pub status: ListedState,
+    #[serde(rename = "heldS", default)]
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachinePage {
+    #[serde(rename = "spindles")]
+    pub machines: Vec<Listed>,
+    #[serde(default)]
+    pub truncated: bool,
+}
+
+/// Any value kept at the state service.
+pub type Data = ciborium::Value;
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Guard {
+    pub key: String,
+    #[serde(rename = "keyRev")]
+    pub rev: Revision,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Write {
+    Put {
+        #[serde(rename = "write")]
+        key: String,
+        data: Data,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        hold: Option<LeaseId>,
+    },
+    Delete {
+        #[serde(rename = "remove")]
+        key: String,
+    },
+}
+
+impl Write {
+    pub fn key(&self) -> &str {
+        match self {
+            Write::Put { key, .. } | Write::Delete { key } => key,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Txn {
+    pub guards: Vec<Guard>,
+    pub writes: Vec<Write>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Committed {
+    #[serde(rename = "storeRev")]
+    pub rev: Revision,
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Row {
+    pub key: String,
+    pub data: Data,
+    #[serde(rename = "keyRev")]
+    pub rev: Revision,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Page {
+    pub rows: Vec<Row>,
+    #[serde(default)]
+    pub truncated: bool,
+    #[serde(rename = "storeRev")]
+    pub rev: Revision,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Change {
+    #[serde(rename = "write", default, skip_serializing_if = "Option::is_none")]
+    pub put: Option<String>,
+    #[serde(rename = "remove", default, skip_serializing_if = "Option::is_none")]
+    pub delete: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub data: Option<Data>,
+    #[serde(rename = "keyRev")]
+    pub rev: Revision,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct News {
+    #[serde(rename = "storeRev")]
+    pub rev: Revision,
+    pub news: Vec<Change>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseLife {
+    #[serde(rename = "lifeMs")]
+    pub ttl_ms: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseName {
+    #[serde(rename = "hold")]
+    pub lease: LeaseId,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lying_lengths_and_nesting_are_refused_cheaply() {
+        // A list of 2^60 items, a text of 2^60 bytes, and nesting far beyond any message of ours.
+        for bytes in [
+            vec![0x9b, 0x10, 0, 0, 0, 0, 0, 0, 0],
+            vec![0x7b, 0x10, 0, 0, 0, 0, 0, 0, 0, b'a'],
+            vec![0x81; 60_000],
+        ] {
+            assert!(decode::<Report>(&bytes).is_err());
+            assert!(decode::<Data>(&bytes).is_err());
+        }
+        let mut twice = encode(&LeaseLife { ttl_ms: 5 });
+        twice.push(0);
+        assert!(decode::<LeaseLife>(&twice).is_err());
+    }
+
+    #[test]
+    fn an_integer_is_taken_for_an_amount_and_unknown_fields_are_ignored() {
+        let value = Data::Map(
+            [("name", "g8"), ("later", "x")]
+                .map(|(k, v)| (Data::from(k), Data::from(v)))
+                .into_iter()
+                .chain(
+                    ["vcpus", "cards", "ramGb", "price", "marketPrice", "startupS"]
+                        .map(|k| (Data::from(k), Data::from(4))),
+                )
+                .chain([(Data::from("halls"), Data::Array(vec![]))])
+                .collect(),
+        );
+        let flavor: Flavor = decode(&encode(&value)).unwrap();
+        assert_eq!(flavor.cpus, 4.0);
+    }
+}
