--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -239,11 +239,9 @@
             if orders.len() >= ORDERS_MAX {
                 break;
             }
-            if entry.settled && entry.state == TaskState::Exited {
-                if entry.flying == 0 {
-                    orders.push(Order::Forget { task: task.clone(), attempt: *attempt });
-                    dropped.push((task.clone(), *attempt));
-                }
+            if entry.settled && entry.state == TaskState::Exited && entry.flying == 0 {
+                orders.push(Order::Forget { task: task.clone(), attempt: *attempt });
+                dropped.push((task.clone(), *attempt));
             }
         }
         for key in dropped {
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -55,10 +55,12 @@
     work: HashMap<JobId, Work>,
     images: HashMap<Arc<str>, u32>,
     refused: HashMap<Kind, Instant>,
+    /// Surely gone: a lagging list may still show them.
+    buried: HashSet<MachineId>,
     listed_once: bool,
     plan_at: Instant,
     plan_wanted: bool,
-    /// Shortest time until when some warm room is kept, by machine.
+    /// Machines kept as warm room.
     reserved: HashSet<MachineId>,
     pub direct: Vec<(MachineId, SocketAddr, Direct)>,
     pub last_report: Instant,
@@ -87,6 +89,7 @@
             work: HashMap::new(),
             images: HashMap::new(),
             refused: HashMap::new(),
+            buried: HashSet::new(),
             listed_once: false,
             plan_at: now,
             plan_wanted: true,
@@ -504,6 +507,7 @@
             }
             CloudEvent::Deleted(machines) => {
                 for id in machines {
+                    self.buried.insert(id.clone());
                     self.gone(&id, "returned", cache, now);
                 }
             }
@@ -521,6 +525,9 @@
         self.listed_once = true;
         let mut present = HashSet::new();
         for row in listed {
+            if self.buried.contains(&row.machine) {
+                continue;
+            }
             present.insert(row.machine.clone());
             if row.status == crate::wire::ListedState::Failed {
                 self.gone(&row.machine, "failed", cache, now);
@@ -849,7 +856,7 @@
                 .iter()
                 .map(|n| if spec.spread { half.saturating_sub(*n) } else { u32::MAX })
                 .collect();
-            let avoid = if work.failed_on.len() >= FAULTY_JOBS + 1 {
+            let avoid = if work.failed_on.len() > FAULTY_JOBS {
                 Vec::new()
             } else {
                 let index = |id| self.machines.get(id).map(|m: &Machine| m.index);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -70,15 +70,15 @@
     pub urgency: Urgency,
     #[serde(rename = "legs")]
     pub tasks: u64,
-    #[serde(rename = "vcpus")]
+    #[serde(rename = "vcpus", deserialize_with = "amount")]
     pub cpus: f64,
-    #[serde(rename = "cards")]
+    #[serde(rename = "cards", deserialize_with = "amount")]
     pub gpus: f64,
-    #[serde(rename = "ramGb")]
+    #[serde(rename = "ramGb", deserialize_with = "amount")]
     pub ram_gb: f64,
     #[serde(rename = "bundle")]
     pub image: String,
-    #[serde(rename = "imageGb")]
+    #[serde(rename = "imageGb", deserialize_with = "amount")]
     pub image_gb: f64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub flavors: Option<Vec<String>>,
@@ -89,13 +89,18 @@
     pub spread: bool,
     #[serde(rename = "lendable")]
     pub spot: bool,
-    #[serde(rename = "expectS")]
+    #[serde(rename = "expectS", deserialize_with = "amount")]
     pub expect_s: f64,
-    #[serde(rename = "snapshotEveryS")]
+    #[serde(rename = "snapshotEveryS", deserialize_with = "amount")]
     pub checkpoint_s: f64,
-    #[serde(rename = "snapshotS")]
+    #[serde(rename = "snapshotS", deserialize_with = "amount")]
     pub save_s: f64,
-    #[serde(rename = "dueS", default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        rename = "dueS",
+        default,
+        skip_serializing_if = "Option::is_none",
+        deserialize_with = "no_or_amount"
+    )]
     pub due_s: Option<f64>,
 }
 
@@ -172,7 +177,7 @@
     pub seq: u64,
     #[serde(rename = "baton")]
     pub token: Token,
-    #[serde(rename = "recallS", default)]
+    #[serde(rename = "recallS", default, deserialize_with = "no_or_amount")]
     pub notice_s: Option<f64>,
     #[serde(rename = "legs", default)]
     pub tasks: Vec<ReportedTask>,
@@ -194,7 +199,7 @@
         task: TaskId,
         #[serde(rename = "try")]
         attempt: Attempt,
-        #[serde(rename = "windDownS")]
+        #[serde(rename = "windDownS", deserialize_with = "amount")]
         grace_s: f64,
     },
     #[serde(rename = "forget")]
@@ -224,20 +229,21 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Flavor {
     pub name: String,
-    #[serde(rename = "vcpus")]
+    #[serde(rename = "vcpus", deserialize_with = "amount")]
     pub cpus: f64,
-    #[serde(rename = "cards")]
+    #[serde(rename = "cards", deserialize_with = "amount")]
     pub gpus: f64,
-    #[serde(rename = "ramGb")]
+    #[serde(rename = "ramGb", deserialize_with = "amount")]
     pub ram_gb: f64,
-    #[serde(rename = "cacheGb", default)]
+    #[serde(rename = "cacheGb", default, deserialize_with = "amount")]
     pub cache_gb: f64,
-    #[serde(rename = "pullGbPerS", default)]
+    #[serde(rename = "pullGbPerS", default, deserialize_with = "amount")]
     pub fetch_gb_per_s: f64,
+    #[serde(deserialize_with = "amount")]
     pub price: f64,
-    #[serde(rename = "marketPrice")]
+    #[serde(rename = "marketPrice", deserialize_with = "amount")]
     pub spot_price: f64,
-    #[serde(rename = "startupS")]
+    #[serde(rename = "startupS", deserialize_with = "amount")]
     pub boot_s: f64,
     #[serde(rename = "halls")]
     pub zones: Vec<String>,
@@ -286,7 +292,7 @@
     #[serde(rename = "lendable")]
     pub spot: bool,
     pub status: ListedState,
-    #[serde(rename = "heldS", default)]
+    #[serde(rename = "heldS", default, deserialize_with = "amount")]
     pub age_s: f64,
 }
 
@@ -298,6 +304,33 @@
     pub truncated: bool,
 }
 
+/// Amounts are decimals on the wire; a peer that writes a whole one as an integer is understood.
+fn amount<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    struct Amount;
+    impl serde::de::Visitor<'_> for Amount {
+        type Value = f64;
+        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.write_str("a number")
+        }
+        fn visit_f64<E>(self, value: f64) -> Result<f64, E> {
+            Ok(value)
+        }
+        fn visit_u64<E>(self, value: u64) -> Result<f64, E> {
+            Ok(value as f64)
+        }
+        fn visit_i64<E>(self, value: i64) -> Result<f64, E> {
+            Ok(value as f64)
+        }
+    }
+    from.deserialize_any(Amount)
+}
+
+fn no_or_amount<'de, D: Deserializer<'de>>(from: D) -> Result<Option<f64>, D::Error> {
+    #[derive(Deserialize)]
+    struct Given(#[serde(deserialize_with = "amount")] f64);
+    Ok(Option::<Given>::deserialize(from)?.map(|some| some.0))
+}
+
 /// Any value kept at the state service.
 pub type Data = ciborium::Value;
 
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,36 @@
+//! Settings: faults are named, the example file equals the defaults.
+
+use troutspindle::settings::{Operator, Settings};
+
+const PLATFORM: &str = r#"{
+  "host_name": "n-0", "location": "a", "listen": "127.0.0.1:0", "mesh_addr": "127.0.0.1:0",
+  "others": [], "external": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"}, "later": {"x": 1},
+  "params": {"zones": ["a"], "teams": [{"name": "t", "cpus": 1.0, "cpus_max": 2.0}],
+    "workers": {"report_s": 3.0, "lease_s": 18.0, "cancel_s": 43.0},
+    "state": {"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12},
+    "cloud": {"rps": 3.0, "list_lag_s": 4.0},
+    "resources": {"cpu": 0.08, "memory_mb": 56.0, "max_sockets": 700}}
+}"#;
+
+#[test]
+fn the_example_of_operator_settings_holds_every_default() {
+    let text = include_str!("../deploy/operator.example.yaml");
+    let example: Operator = serde_yaml_ng::from_str(text).unwrap();
+    assert_eq!(example, Operator::default());
+    let all = serde_yaml_ng::to_value(Operator::default()).unwrap();
+    for key in all.as_mapping().unwrap().keys() {
+        let key = key.as_str().unwrap();
+        assert!(text.lines().any(|line| line.starts_with(&format!("{key}:"))), "{key}");
+    }
+}
+
+#[test]
+fn unknown_fields_of_the_platform_are_ignored_and_faults_of_the_operators_named() {
+    assert!(Settings::parse(PLATFORM, None).is_ok());
+    let fault = |yaml: &str| Settings::parse(PLATFORM, Some(yaml)).unwrap_err().to_string();
+    assert!(fault("heavy_kap: 0.2").contains("heavy_kap"));
+    assert!(fault("heavy_cap: 1.5\nidle_return_s: -1").lines().count() == 2);
+    assert!(fault("heavy_cap: x").contains("heavy_cap"));
+    let broken = PLATFORM.replace("18.0", "-1.0");
+    assert!(Settings::parse(&broken, None).unwrap_err().to_string().contains("lease_s"));
+}
