--- a/src/api.rs
+++ b/src/api.rs
@@ -77,7 +77,7 @@
     let need = Amount::need(spec.cpus, spec.gpus, spec.ram_gb);
     let at_once = match spec.shape {
         Shape::Array => 1,
-        Shape::Service => spec.tasks,
+        Shape::Service | Shape::Gang => spec.tasks,
     };
     if !need.times(at_once).fits(&team.most()) {
         return true;
@@ -87,7 +87,7 @@
     }
     // A job whose tasks must share a zone and may not can't run at all, unless there is one.
     if spec.spread && spec.tasks > 1 && (spec.one_zone || spec.zone.is_some()) {
-        return spec.shape == Shape::Service;
+        return spec.shape != Shape::Array;
     }
     !flavors.iter().any(|flavor| {
         spec.flavors.as_ref().is_none_or(|list| list.contains(&flavor.name))
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -183,13 +183,11 @@
             entry.seen = true;
             entry.state = shown.state;
             match shown.state {
-                TaskState::Running => {
-                    if entry.running_since.is_none() {
-                        entry.running_since = Some(now);
-                        let image = entry.image.clone();
-                        if !image.is_empty() && !self.images.contains(&image) {
-                            self.images.push(image);
-                        }
+                TaskState::Running if entry.running_since.is_none() => {
+                    entry.running_since = Some(now);
+                    let image = entry.image.clone();
+                    if !image.is_empty() && !self.images.contains(&image) {
+                        self.images.push(image);
                     }
                     facts.push(Fact::Running(key.0, key.1));
                 }
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -32,6 +32,8 @@
 struct Work {
     /// It was there before this leadership began: a predecessor may have started its tasks.
     old: bool,
+    /// When this leader first saw it.
+    known: Option<Instant>,
     placed: BTreeMap<u32, (MachineId, Attempt)>,
     /// Reported done, not committed yet.
     completing: BTreeSet<u32>,
@@ -209,7 +211,7 @@
 
     fn on_fact(&mut self, machine: &MachineId, fact: Fact, cache: &Cache, now: Instant) {
         match fact {
-            Fact::Running(..) => {}
+            Fact::Running(task, attempt) => self.on_running(machine, &task, attempt, cache, now),
             Fact::Found(task, attempt) => self.adopt(machine, task, attempt, cache),
             Fact::Vanished(task, attempt) => {
                 tracing::info!(%machine, %task, %attempt, "task is gone with its machine's session");
@@ -221,6 +223,24 @@
         }
     }
 
+    fn on_running(
+        &mut self,
+        id: &MachineId,
+        task: &TaskId,
+        attempt: Attempt,
+        cache: &Cache,
+        now: Instant,
+    ) {
+        let since = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let Some(machine) = self.machines.get(id) else { return };
+        let Some(entry) = machine.entries.get(&(task.clone(), attempt)) else { return };
+        let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { return };
+        let known_ms = self.work.get(&task.job).and_then(|work| work.known).map(since);
+        let class = &live.spec.class;
+        let fetch_ms = since(entry.placed);
+        tracing::debug!(machine = %id, %task, class, known_ms, fetch_ms, image = %entry.image, "running");
+    }
+
     /// A task that a predecessor started.
     fn adopt(&mut self, machine: &MachineId, task: TaskId, attempt: Attempt, cache: &Cache) {
         let job = cache.jobs.get(&task.job);
@@ -278,7 +298,7 @@
         now: Instant,
     ) {
         let live = cache.jobs.get(&task.job).and_then(Job::live);
-        let done = why == "done" && live.is_some_and(|l| l.spec.shape == Shape::Array);
+        let done = why == "done" && live.is_some_and(|l| l.spec.shape != Shape::Service);
         if let (true, Some(live)) = (done, live) {
             // The machine keeps the exit until the completion is committed.
             if !live.is_done(task.index, self.settings.chunk_tasks()) {
@@ -340,13 +360,14 @@
     // ---- the store ------------------------------------------------------------------------
 
     /// Records of these jobs may have changed.
-    pub fn on_jobs(&mut self, ids: &[JobId], cache: &Cache) {
+    pub fn on_jobs(&mut self, ids: &[JobId], cache: &Cache, now: Instant) {
         let chunk = self.settings.chunk_tasks();
         for id in ids {
             let Some(job) = cache.jobs.get(id) else { continue };
             match &job.body {
                 JobBody::Live(live) => {
                     let work = self.work.entry(id.clone()).or_default();
+                    work.known.get_or_insert(now);
                     let done: Vec<u32> = work
                         .placed
                         .keys()
@@ -875,6 +896,7 @@
                 one_zone: spec.one_zone,
                 image: Self::image_id(&mut self.images, &spec.image),
                 avoid,
+                gang: spec.shape == Shape::Gang,
             });
             sources.push((id.clone(), waiting));
         }
@@ -1002,6 +1024,7 @@
                 one_zone: false,
                 image: u32::MAX,
                 avoid: Vec::new(),
+                gang: false,
             });
         }
     }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -207,7 +207,7 @@
         .map(|(_, (bits, _))| bits.count())
         .sum();
     let done = old + chunks.values().map(|(bits, _)| bits.count()).sum::<u64>();
-    if live.spec.shape == Shape::Array && done >= live.spec.tasks {
+    if live.spec.shape != Shape::Service && done >= live.spec.tasks {
         return Some(finish(id, job, live, Phase::Done, done));
     }
     let key = job_key(id);
--- a/src/node.rs
+++ b/src/node.rs
@@ -385,7 +385,7 @@
             }
             StateEvent::Changed(ids) => {
                 if let Some(foreman) = &mut self.foreman {
-                    foreman.on_jobs(&ids, &self.state.cache);
+                    foreman.on_jobs(&ids, &self.state.cache, now);
                 }
             }
             StateEvent::Synced(TAKE_OVER) => self.take_over(now),
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -48,6 +48,8 @@
     pub image: u32,
     /// Indices of machines on which tasks of this job failed.
     pub avoid: Vec<u64>,
+    /// All of them start at once, or none does.
+    pub gang: bool,
 }
 
 /// A kind of machine that could be rented.
@@ -137,8 +139,33 @@
         self.bins.iter().filter(|bin| bin.basket == Some(Basket::Heavy)).count()
     }
 
-    /// Places up to the ask's count; gives how many found nothing.
+    /// Serves an ask; a gang whose tasks don't all find room on machines that are up starts
+    /// none of them, though what it would need is booked and rented all the same.
     fn serve(&mut self, at: usize, ask: &mut Ask, cap: usize) -> u32 {
+        if !ask.gang {
+            return self.fill(at, ask, cap);
+        }
+        let (bins, room) = (self.bins.clone(), self.team_room.clone());
+        let (places, zone_room, zone) = (self.plan.places.len(), ask.zone_room.clone(), ask.zone);
+        let left = self.fill(at, ask, cap);
+        let placed = self.plan.places.len() - places;
+        if placed as u32 == ask.count {
+            return left;
+        }
+        self.plan.places.truncate(places);
+        self.plan.booked.retain(|(ask, _)| *ask != at);
+        (ask.zone_room, ask.zone) = (zone_room, zone);
+        self.team_room = room;
+        for (bin, was) in self.bins.iter_mut().zip(bins) {
+            if bin.ready {
+                *bin = was;
+            }
+        }
+        ask.count
+    }
+
+    /// Places up to the ask's count; gives how many found nothing.
+    fn fill(&mut self, at: usize, ask: &mut Ask, cap: usize) -> u32 {
         let zones: Vec<usize> =
             (0..ask.zone_room.len()).filter(|z| ask.zone.is_none_or(|only| only == *z)).collect();
         if ask.one_zone && ask.zone.is_none() {
@@ -323,6 +350,7 @@
                 if round == 1 && (light_waits || !waiting.contains(&at)) {
                     continue;
                 }
+                let before = (bins.clone(), team.clone(), places.len(), ask.clone());
                 while ask.count > 0 {
                     let heavy = bins.iter().filter(|b| b.basket == Some(Basket::Heavy)).count();
                     let full = round == 0 && heavy >= input.heavy_cap;
@@ -352,6 +380,10 @@
                     ask.count -= 1;
                     places.push((at, i));
                 }
+                if ask.gang && ask.count > 0 {
+                    places.truncate(before.2);
+                    (bins, team, *ask) = (before.0, before.1, before.3);
+                }
                 if round == 0 && ask.count > 0 {
                     waiting.push(at);
                     light_waits |= ask.basket == Basket::Light;
@@ -401,6 +433,7 @@
                     one_zone: false,
                     image: random.random_range(0..3),
                     avoid: (0..12).filter(|_| random.random_range(0..9) == 0).collect(),
+                    gang: random.random_range(0..4) == 0,
                 }
             })
             .collect();
@@ -433,6 +466,7 @@
             one_zone: false,
             image: 0,
             avoid: vec![],
+            gang: false,
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -42,6 +42,9 @@
     Array,
     #[serde(rename = "service")]
     Service,
+    /// All tasks run together or not at all.
+    #[serde(rename = "ensemble")]
+    Gang,
 }
 
 /// Declared from most to least urgent, so that the derived order is the order of work.
