--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -840,6 +840,11 @@
             {
                 continue;
             }
+            if spec.shape == Shape::Gang && !work.placed.is_empty() {
+                // A generation of a gang starts as a whole: when one of its tasks is lost, the
+                // others end by themselves and all start again under a new attempt.
+                continue;
+            }
             let most = placement::copies(&team_room[team], &job.need).min(budget as u64) as usize;
             let mut waiting = Vec::new();
             let mut cursor = None;
@@ -1062,8 +1067,16 @@
         else {
             return;
         };
-        self.counter += 1;
-        let attempt = Attempt::new(self.token, self.counter);
+        // The tasks of a gang find each other by a common attempt: each generation has one.
+        let gang = live.spec.shape == Shape::Gang;
+        let shared = work.placed.values().map(|(_, attempt)| *attempt).max();
+        let attempt = match shared {
+            Some(shared) if gang => shared,
+            _ => {
+                self.counter += 1;
+                Attempt::new(self.token, self.counter)
+            }
+        };
         tracing::debug!(machine = %id, %task, %attempt, "start");
         self.starts += 1;
         work.placed.insert(task.index, (id.clone(), attempt));
