--- a/src/constants.rs
+++ b/src/constants.rs
@@ -132,3 +132,12 @@
 pub const IDLE_RETURN_S: f64 = 25.0;
 /// Default machines' worth of free room kept ready in each zone for critical work.
 pub const WARM_PER_ZONE: f64 = 1.0;
+
+/// How long another controller may answer reports on a leader's behalf after it last heard from
+/// it: longer than the cuts between zones that operators see.
+pub const VOUCH: Duration = Duration::from_secs(45);
+/// A controller answers on the leader's behalf after this long without a grant, three beats.
+pub const VOUCH_AFTER: Duration = Duration::from_millis(1600);
+/// Kept between the last answer on a leader's behalf without news of the store and the time by
+/// which a cancelled task must be gone.
+pub const VOUCH_MARGIN: Duration = Duration::from_secs(4);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -91,6 +91,8 @@
     pub answered: Instant,
     pub heard: Option<Instant>,
     pub listed: bool,
+    /// Barred from being vouched for, without a break since the grant of this number.
+    pub barred_since: Option<u64>,
     pub recall_at: Option<Instant>,
     pub entries: BTreeMap<(TaskId, Attempt), Entry>,
     pub idle_since: Option<Instant>,
@@ -127,6 +129,7 @@
             answered: now,
             heard: None,
             listed: false,
+            barred_since: None,
             recall_at: None,
             entries: BTreeMap::new(),
             idle_since: None,
@@ -300,9 +303,11 @@
         self.entries.values().all(|entry| entry.state == TaskState::Exited)
     }
 
-    /// Whether its lease has surely run out: nobody but us could have answered it since.
-    pub fn lease_over(&self, lease: Duration, now: Instant) -> bool {
-        now > self.answered + lease.mul_f64(1.0 + DRIFT) + WORKER_MARGIN
+    /// Whether its lease has surely run out, if nobody answered it later than we did and than
+    /// `others`.
+    pub fn lease_over(&self, others: Option<Instant>, lease: Duration, now: Instant) -> bool {
+        let answered = others.map_or(self.answered, |at| at.max(self.answered));
+        now > answered + lease.mul_f64(1.0 + DRIFT) + WORKER_MARGIN
     }
 
     pub fn silent_for(&self, now: Instant) -> Duration {
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -6,13 +6,15 @@
 use crate::cloud::{CloudCore, CloudEvent, Kind};
 use crate::constants::*;
 use crate::fleet::{Entry, Fact, Heard, Life, Machine, Stop};
-use crate::ids::{Amount, Attempt, JobId, MachineId, Revision, TaskId, Token};
+use crate::ids::{Amount, Attempt, JobId, MachineId, NodeName, Revision, TaskId, Token};
 use crate::jobs::{self, Job, JobBody, LiveJob};
+use crate::mesh::MeshMessage;
 use crate::placement::{self, Ask, Basket, Bin, Input, Offer};
 use crate::settings::Settings;
 use crate::state::{
     Cache, Item, LEADER_KEY, MACHINE_PREFIX, MachineRecord, Origin, Outcome, Rank, StateCore,
 };
+use crate::vouch::Grants;
 use crate::wire::{Data, Flavor, Guard, Order, Orders, Report, Shape, TaskState, Urgency, Write};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -64,6 +66,7 @@
     plan_wanted: bool,
     /// Machines kept as warm room.
     reserved: HashSet<MachineId>,
+    pub grants: Grants,
     pub direct: Vec<(MachineId, SocketAddr, Direct)>,
     pub last_report: Instant,
     pub starts: u64,
@@ -79,8 +82,10 @@
         now: Instant,
     ) -> Foreman {
         let names = settings.platform.params.teams.iter().map(|team| team.name.clone());
+        let peers = settings.platform.others.iter().map(|peer| peer.host_name.clone());
         let mut foreman = Foreman {
             token,
+            grants: Grants::new(token, peers, now),
             leader_rev,
             since: now,
             counter: 0,
@@ -599,6 +604,22 @@
         }
     }
 
+    /// A grant for another controller: it may answer for all machines that we hear.
+    pub fn grant(&mut self, to: &NodeName, seq: u64, now: Instant) -> Option<MeshMessage> {
+        self.grants.number += 1;
+        let quiet = self.settings.report_every() * 2;
+        let mut barred = Vec::new();
+        for machine in self.machines.values_mut() {
+            if machine.silent_for(now) > quiet {
+                machine.barred_since.get_or_insert(self.grants.number);
+                barred.push(machine.id.clone());
+            } else {
+                machine.barred_since = None;
+            }
+        }
+        self.grants.give(to, seq, barred, now)
+    }
+
     // ---- time -----------------------------------------------------------------------------
 
     /// Called often, and only while this process may act.
@@ -613,19 +634,45 @@
         self.send_direct(now);
     }
 
+    /// Zones none of whose machines is heard: cut off from here rather than dead.
+    fn silent_zones(&self, now: Instant) -> Vec<bool> {
+        let quiet = self.settings.report_every() * 2 + Duration::from_secs(1);
+        let mut up = vec![0; self.settings.platform.params.zones.len()];
+        let mut heard = up.clone();
+        for machine in self.machines.values().filter(|m| m.life == Life::Up) {
+            up[machine.zone] += 1;
+            heard[machine.zone] += usize::from(machine.silent_for(now) < quiet);
+        }
+        up.iter().zip(heard).map(|(up, heard)| *up >= 2 && heard * 4 < *up).collect()
+    }
+
     fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let lease = self.settings.worker_lease();
+        let silent = self.silent_zones(now);
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
         for machine in self.machines.values_mut() {
-            // Only the leader answers reports, and a predecessor's right had ended when ours
-            // began: once the lease has surely run out, the worker has killed what it had.
-            if (!machine.confirmed || !machine.entries.is_empty()) && machine.lease_over(lease, now)
+            // A predecessor's right had ended when ours began, and what others may answer on
+            // our behalf is bounded: once the lease has surely run out, the worker has killed
+            // what it had.
+            let others = self.grants.answered_until(&machine.id, machine.barred_since);
+            if (!machine.confirmed || !machine.entries.is_empty())
+                && machine.lease_over(others, lease, now)
             {
                 tracing::info!(machine = %machine.id, "silent machine's lease is over");
                 machine.confirmed = true;
                 facts.extend(machine.lose_all().into_iter().map(|fact| (machine.id.clone(), fact)));
             }
+            if (!machine.confirmed || !machine.entries.is_empty())
+                && machine.life == Life::Up
+                && machine.lease_over(None, lease, now)
+                && !silent[machine.zone]
+            {
+                // Another controller might still answer it. Its deletion proves that nothing
+                // runs there, unless a whole zone is cut off: that one is waited for.
+                tracing::info!(machine = %machine.id, "silent beyond its lease, given back");
+                machine.life = Life::Returning;
+            }
             let flavor = &self.flavors[machine.flavor];
             let age = now.saturating_duration_since(machine.known_since);
             let patience =
@@ -912,7 +959,8 @@
             }
         }
         let real_asks = asks.len();
-        self.warm_asks(&mut asks, &sizes, zones, params.teams.len());
+        let silent = self.silent_zones(now);
+        self.warm_asks(&mut asks, &sizes, &silent, params.teams.len());
 
         // Bins.
         let quiet = settings.report_every() * 2 + Duration::from_secs(1);
@@ -974,7 +1022,8 @@
         }
         let total = bins.len();
         let heavy_cap = ((total as f64 * settings.operator.heavy_cap) as usize).max(1);
-        let kinds = self.offers(&sizes, now);
+        let mut kinds = self.offers(&sizes, now);
+        kinds.retain(|(kind, _)| !silent[kind.zone]);
         let may_rent = now >= self.since + HIRE_SETTLE
             && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
         let offers = if may_rent { kinds.iter().map(|(_, o)| o.clone()).collect() } else { vec![] };
@@ -1011,11 +1060,12 @@
     }
 
     /// Room kept free for critical work, as asks that come last and are never started.
-    fn warm_asks(&self, asks: &mut Vec<Ask>, sizes: &[Amount], zones: usize, team: usize) {
+    fn warm_asks(&self, asks: &mut Vec<Ask>, sizes: &[Amount], silent: &[bool], team: usize) {
         let Some(size) = sizes.first() else { return };
         let need = Amount { cpu: size.cpu / 4, gpu: 0, ram: size.ram / 4 };
         let count = (self.settings.operator.warm_per_zone * 4.0).round() as u32;
-        for zone in (0..zones).filter(|_| count > 0) {
+        let zones = silent.len();
+        for zone in (0..zones).filter(|zone| count > 0 && !silent[*zone]) {
             asks.push(Ask {
                 team,
                 urgency: Urgency::Low,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod placement;
 pub mod settings;
 pub mod state;
+pub mod vouch;
 pub mod wire;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -4,7 +4,7 @@
 //! acknowledges each frame with one byte, so that a dead connection is noticed and redialled.
 
 use crate::constants::*;
-use crate::ids::{JobId, NodeName, Token};
+use crate::ids::{JobId, MachineId, NodeName, Token};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,7 +22,14 @@
         /// A leader's token: with it goes the question for a pledge.
         leading: Option<Token>,
         state_lost: bool,
+        /// The newest grant that its sender has, how long it is up, and which workers it
+        /// answered on a leader's behalf how many milliseconds ago.
+        ack: (Token, u64),
+        up_ms: u64,
+        vouched: Vec<(MachineId, u64)>,
     },
+    /// A leader's leave to answer reports on its behalf, for all machines but these.
+    Grant { seq: u64, token: Token, number: u64, barred: Vec<MachineId> },
     /// The promise not to campaign for a while, and what its giver told users to be cancelled.
     Pledge { from: NodeName, seq: u64, token: Token, cancelled: Vec<JobId> },
     /// How many tasks of each job run, for answers to users.
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,10 +13,12 @@
 use crate::state::{
     FLAVORS_KEY, Item, Origin, Outcome, Rank, StateCall, StateCore, StateEvent, StateReply,
 };
+use crate::vouch::Voucher;
 use crate::wire::{self, Data, Guard, Misdirected, Orders, Report, Write};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -62,6 +64,8 @@
     pub foreman: Option<Foreman>,
     api: Api,
     peers: HashMap<NodeName, PeerView>,
+    voucher: Voucher,
+    started: Instant,
     mesh_at: Instant,
     mesh_seq: u64,
     asked: VecDeque<(u64, Instant)>,
@@ -85,6 +89,8 @@
             foreman: None,
             api: Api::new(settings.clone())?,
             peers: HashMap::new(),
+            voucher: Voucher::default(),
+            started: now,
             mesh_at: now,
             mesh_seq: 0,
             asked: VecDeque::new(),
@@ -169,6 +175,9 @@
                 }
             };
         }
+        if let Some(orders) = self.vouch(&report, now) {
+            return Response::with(200, wire::encode(&orders));
+        }
         match &self.state.cache.leader {
             Some((leader, _)) if leader.node != self.settings.platform.host_name => {
                 let foreman = leader.node.to_string();
@@ -178,6 +187,33 @@
         }
     }
 
+    /// An answer on behalf of a leader that is out of reach, which keeps the worker's lease. It
+    /// starts nothing, and stops what is known to be cancelled. It is given only with recent
+    /// news of the store: else tasks could outlive their cancellation.
+    fn vouch(&mut self, report: &Report, now: Instant) -> Option<Orders> {
+        let workers = &self.settings.platform.params.workers;
+        let blind = Duration::from_secs_f64((workers.cancel_s - workers.lease_s).max(0.0));
+        let synced = self.state.synced_at?;
+        if now.saturating_duration_since(synced) > blind.saturating_sub(VOUCH_MARGIN)
+            || self.foreman.is_some()
+        {
+            return None;
+        }
+        let cache = &self.state.cache;
+        let token = self.voucher.answer(&report.machine, cache.token.0, now)?;
+        let over = |id| cache.jobs.get(id).is_some_and(|job| job.over().is_some());
+        let stop = |task: &wire::ReportedTask| wire::Order::Stop {
+            task: task.task.clone(),
+            attempt: task.attempt,
+            grace_s: 0.0,
+        };
+        let running = |task: &&wire::ReportedTask| task.state != wire::TaskState::Exited;
+        let tasks = report.tasks.iter().filter(running).filter(|task| over(&task.task.job));
+        let orders = tasks.take(ORDERS_MAX).map(stop).collect();
+        tracing::debug!(machine = %report.machine, %token, "answered for the leader");
+        Some(Orders { token, session: None, orders })
+    }
+
     fn step_down(&mut self, now: Instant) {
         self.foreman = None;
         self.state.set_leading(false, now);
@@ -215,8 +251,17 @@
 
     fn on_mesh(&mut self, message: MeshMessage, now: Instant) {
         match message {
-            MeshMessage::Beat { from, seq, leading, state_lost } => {
+            MeshMessage::Beat { from, seq, leading, state_lost, ack, up_ms, vouched } => {
                 self.peers.insert(from.clone(), PeerView { heard: now, state_lost });
+                if self.election.may_act(now)
+                    && let Some(foreman) = &mut self.foreman
+                {
+                    let up = Duration::from_millis(up_ms);
+                    foreman.grants.on_beat(&from, ack, up, &vouched, now);
+                    if let Some(grant) = foreman.grant(&from, seq, now) {
+                        self.out.push(Effect::Mesh(from.clone(), grant));
+                    }
+                }
                 if let Some(token) = leading
                     && self.election.pledge(token, &self.state.cache, now)
                 {
@@ -240,6 +285,12 @@
                     self.election.pledged_by(&from, asked);
                 }
             }
+            MeshMessage::Grant { seq, token, number, barred } => {
+                let asked = self.asked.iter().find(|(s, _)| *s == seq).map(|(_, at)| *at);
+                if let Some(asked) = asked {
+                    self.voucher.take(token, number, barred, asked, now);
+                }
+            }
             MeshMessage::Running { token, counts } => {
                 if token >= self.state.cache.token.0 && self.foreman.is_none() {
                     self.api.running = counts.into_iter().collect();
@@ -267,11 +318,14 @@
                 seq: self.mesh_seq,
                 leading: self.foreman.as_ref().and(self.election.token()),
                 state_lost: self.state.lost(now),
+                ack: self.voucher.ack(),
+                up_ms: now.saturating_duration_since(self.started).as_millis() as u64,
+                vouched: self.voucher.vouched(now),
             };
             self.broadcast(&beat);
         }
         let quiet = |at: Instant| now.saturating_duration_since(at) > STATE_LOST / 3;
-        if !self.probe_in_flight && self.state.last_ok.is_none_or(quiet) {
+        if !self.probe_in_flight && self.state.synced_at.is_none_or(quiet) {
             self.probe_in_flight = true;
             self.state.sync(PROBE);
         }
@@ -301,10 +355,14 @@
         let every = self.settings.report_every();
         let known = foreman.machines.values().filter(|m| m.up_since.is_some() || m.recorded);
         let known = known.count() as u32;
+        // Sooner if no other controller is heard either.
+        let deaf =
+            self.peers.values().all(|peer| now.saturating_duration_since(peer.heard) > VOUCH_AFTER);
+        let patience = if deaf { every.mul_f64(1.3) } else { every * 2 };
         if known >= 3
             && !self.settings.platform.others.is_empty()
             && !self.state.lost(now)
-            && now.saturating_duration_since(foreman.last_report) > every * 2
+            && now.saturating_duration_since(foreman.last_report) > patience
         {
             tracing::info!(known, "no worker reports here, giving up leadership");
             self.step_down(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -242,7 +242,7 @@
 enum Doing {
     Batch { items: Vec<Item>, txn: Txn },
     Follow,
-    Sync { tickets: Vec<u64> },
+    Sync { tickets: Vec<u64>, sent: Instant },
     Page,
     Election(StateCall, Instant),
 }
@@ -309,6 +309,9 @@
     next_call: u64,
     /// When the service last answered us with anything but a refusal.
     pub last_ok: Option<Instant>,
+    /// When the newest sync that was answered had been sent: the cache holds all that was
+    /// committed before.
+    pub synced_at: Option<Instant>,
     rps: f64,
     write_rps: f64,
     nodes: f64,
@@ -335,6 +338,7 @@
             doing: HashMap::new(),
             next_call: 0,
             last_ok: None,
+            synced_at: None,
             rps: rps * STATE_BUDGET,
             write_rps: write_rps * STATE_BUDGET,
             nodes: nodes as f64,
@@ -414,7 +418,7 @@
             self.sync_in_flight = true;
             let tickets = std::mem::take(&mut self.sync_wanted);
             let call = StateCall::Follow { after: self.cache.rev, wait: Duration::ZERO };
-            self.call(call, Doing::Sync { tickets }, now);
+            self.call(call, Doing::Sync { tickets, sent: now }, now);
         }
         if !self.follow_in_flight && now >= self.follow_after && self.requests.has(1.0 + spare, now)
         {
@@ -506,11 +510,12 @@
                     _ => self.follow_after = now + Self::pause(),
                 }
             }
-            Doing::Sync { tickets } => {
+            Doing::Sync { tickets, sent } => {
                 self.sync_in_flight = false;
                 match reply {
                     StateReply::News(news) => {
                         self.sync_after = now + SYNC_PAUSE;
+                        self.synced_at = self.synced_at.max(Some(sent));
                         self.take_news(news);
                         for ticket in tickets {
                             self.events.push_back(StateEvent::Synced(ticket));
--- /dev/null
+++ b/src/vouch.rs
@@ -0,0 +1,239 @@
+//! Keeping leases alive where the leader cannot be reached.
+//!
+//! The leader grants each other controller, over the mesh and for a limited time, the right to
+//! answer reports with its token and without starts. A controller uses that right only when it
+//! has stopped hearing from the leader. So that the leader can still conclude that a silent
+//! machine's lease has run out, it bars silent machines in its grants, and controllers
+//! acknowledge the grants they have and tell whom they answered.
+
+use crate::constants::*;
+use crate::ids::{MachineId, NodeName, Token};
+use crate::mesh::MeshMessage;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What a follower holds.
+#[derive(Debug, Default)]
+pub struct Voucher {
+    grant: Option<Grant>,
+    /// When it answered which machine last, under whatever token.
+    answered: HashMap<MachineId, Instant>,
+}
+
+#[derive(Debug)]
+struct Grant {
+    token: Token,
+    number: u64,
+    until: Instant,
+    received: Instant,
+    barred: HashSet<MachineId>,
+}
+
+impl Voucher {
+    /// Takes a grant that answers a question of ours asked at `asked`: its time counts from then.
+    pub fn take(
+        &mut self,
+        token: Token,
+        number: u64,
+        barred: Vec<MachineId>,
+        asked: Instant,
+        now: Instant,
+    ) {
+        if self.grant.as_ref().is_some_and(|g| (g.token, g.number) >= (token, number)) {
+            return;
+        }
+        let until = asked + VOUCH.mul_f64(1.0 - DRIFT);
+        let barred = barred.into_iter().collect();
+        self.grant = Some(Grant { token, number, until, received: now, barred });
+    }
+
+    pub fn ack(&self) -> (Token, u64) {
+        self.grant.as_ref().map_or((Token(0), 0), |grant| (grant.token, grant.number))
+    }
+
+    /// Whom we answered and how long ago.
+    pub fn vouched(&mut self, now: Instant) -> Vec<(MachineId, u64)> {
+        self.answered.retain(|_, at| now.saturating_duration_since(*at) < VOUCH * 4);
+        let age = |at: &Instant| now.saturating_duration_since(*at).as_millis() as u64;
+        self.answered.iter().map(|(id, at)| (id.clone(), age(at))).collect()
+    }
+
+    /// The token to answer a report with, if we may: the leader grants it, is out of our reach,
+    /// and no later one is known (`newest`).
+    pub fn answer(&mut self, machine: &MachineId, newest: Token, now: Instant) -> Option<Token> {
+        let grant = self.grant.as_ref()?;
+        let heard = now.saturating_duration_since(grant.received);
+        if grant.token < newest
+            || now >= grant.until
+            || heard < VOUCH_AFTER
+            || grant.barred.contains(machine)
+        {
+            return None;
+        }
+        self.answered.insert(machine.clone(), now);
+        Some(grant.token)
+    }
+}
+
+/// What the leader knows of the grants it gave.
+#[derive(Debug)]
+pub struct Grants {
+    token: Token,
+    since: Instant,
+    peers: HashMap<NodeName, Peer>,
+    pub number: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    /// No answer on a grant of ours, or of a predecessor, comes later than this.
+    until: Instant,
+    acked: u64,
+    started: Instant,
+    answered: HashMap<MachineId, Instant>,
+}
+
+impl Grants {
+    pub fn new(token: Token, peers: impl Iterator<Item = NodeName>, now: Instant) -> Grants {
+        // A predecessor's grants may last one full term from now.
+        let peer = || Peer {
+            until: now + VOUCH.mul_f64(1.0 + DRIFT),
+            acked: 0,
+            started: now,
+            answered: HashMap::new(),
+        };
+        Grants { token, since: now, peers: peers.map(|name| (name, peer())).collect(), number: 0 }
+    }
+
+    /// A beat of another controller, which asks for a grant and tells what it did.
+    pub fn on_beat(
+        &mut self,
+        from: &NodeName,
+        ack: (Token, u64),
+        up: Duration,
+        vouched: &[(MachineId, u64)],
+        now: Instant,
+    ) {
+        let Some(peer) = self.peers.get_mut(from) else { return };
+        // Delays on the way make these times later than they were, which is the safe side.
+        peer.started = now.checked_sub(up).unwrap_or(self.since);
+        for (machine, age_ms) in vouched {
+            let age = Duration::from_millis(*age_ms);
+            let at = now.checked_sub(age).unwrap_or(self.since);
+            let entry = peer.answered.entry(machine.clone()).or_insert(at);
+            *entry = (*entry).max(at);
+        }
+        if ack.0 == self.token {
+            peer.acked = peer.acked.max(ack.1);
+        }
+    }
+
+    pub fn give(
+        &mut self,
+        to: &NodeName,
+        seq: u64,
+        barred: Vec<MachineId>,
+        now: Instant,
+    ) -> Option<MeshMessage> {
+        let peer = self.peers.get_mut(to)?;
+        peer.until = now + VOUCH.mul_f64(1.0 + DRIFT);
+        Some(MeshMessage::Grant { seq, token: self.token, number: self.number, barred })
+    }
+
+    /// The latest time at which another controller may have answered the machine, which has been
+    /// barred without a break since the grant of that number.
+    pub fn answered_until(
+        &self,
+        machine: &MachineId,
+        barred_since: Option<u64>,
+    ) -> Option<Instant> {
+        let latest = |peer: &Peer| match barred_since {
+            // It keeps to the bar; before, it answered when it says, or before it was started.
+            Some(number) if peer.acked >= number => {
+                peer.answered.get(machine).map_or(peer.started, |at| (*at).max(peer.started))
+            }
+            _ => peer.until,
+        };
+        self.peers.values().map(latest).max()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id() -> MachineId {
+        MachineId::new("i-1")
+    }
+
+    #[test]
+    fn a_follower_answers_only_without_its_leader_and_within_the_grant() {
+        let now = Instant::now();
+        let mut voucher = Voucher::default();
+        assert_eq!(voucher.answer(&id(), Token(0), now), None);
+        voucher.take(Token(3), 1, vec![], now, now);
+        assert_eq!(voucher.answer(&id(), Token(3), now), None);
+        assert_eq!(voucher.answer(&id(), Token(3), now + VOUCH_AFTER), Some(Token(3)));
+        assert_eq!(voucher.answer(&id(), Token(4), now + VOUCH_AFTER), None);
+        assert_eq!(voucher.answer(&id(), Token(3), now + VOUCH), None);
+        voucher.take(Token(3), 2, vec![id()], now, now);
+        assert_eq!(voucher.answer(&id(), Token(3), now + VOUCH_AFTER), None);
+    }
+
+    /// Whatever a follower does with what reaches it, it never answers later than the leader
+    /// reckons. Messages are lost and delayed at random.
+    #[test]
+    fn the_leader_s_bound_holds_under_loss_and_delay() {
+        use rand::rngs::StdRng;
+        use rand::{Rng, SeedableRng};
+        let peer = NodeName::new("b");
+        for seed in 0..300 {
+            let random = &mut StdRng::seed_from_u64(seed);
+            let start = Instant::now();
+            let mut grants = Grants::new(Token(1), [peer.clone()].into_iter(), start);
+            let mut voucher = Voucher::default();
+            let mut barred_since = None;
+            let mut to_leader = Vec::new();
+            let mut to_follower = Vec::new();
+            let mut last: Option<Instant> = None;
+            for step in 0..400u64 {
+                let now = start + Duration::from_millis(step * 250);
+                let delay =
+                    |random: &mut StdRng| now + Duration::from_millis(random.random_range(0..4000));
+                if random.random_range(0..3) > 0 {
+                    let due = delay(random);
+                    to_leader.push((due, now, voucher.ack(), voucher.vouched(now)));
+                }
+                if random.random_range(0..20) == 0 {
+                    barred_since = match barred_since {
+                        None => Some(grants.number + 1),
+                        Some(_) => None,
+                    };
+                }
+                let arrived = |due: &Instant| *due <= now;
+                for (_, asked, ack, vouched) in to_leader.extract_if(.., |m| arrived(&m.0)) {
+                    grants.on_beat(&peer, ack, now - start + VOUCH, &vouched, now);
+                    grants.number += 1;
+                    let barred = barred_since.map(|_| id()).into_iter().collect();
+                    let Some(MeshMessage::Grant { number, barred, .. }) =
+                        grants.give(&peer, 0, barred, now)
+                    else {
+                        panic!()
+                    };
+                    if random.random_range(0..3) > 0 {
+                        to_follower.push((delay(random), asked, number, barred));
+                    }
+                }
+                for (_, asked, number, barred) in to_follower.extract_if(.., |m| arrived(&m.0)) {
+                    voucher.take(Token(1), number, barred, asked, now);
+                }
+                if voucher.answer(&id(), Token(1), now).is_some() {
+                    last = Some(now);
+                }
+                let bound = grants.answered_until(&id(), barred_since);
+                assert!(last.is_none_or(|at| Some(at) <= bound), "seed {seed} step {step}");
+            }
+        }
+    }
+}
