A job that had its turn yields within its team; shorter pledge and leader lease

Cause: wait of spread-rebuild was lost behind large arrays of the same team, whose later tasks cannot start anyway; after a crash of all, the sit-out cost 3 s. Ruled out: capacity (67-130 CPUs were free meanwhile).

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -57,7 +57,7 @@
 pub const PAGE_ROWS: usize = 500;
 
 /// Life of the leader's lease at the state service.
-pub const LEADER_LEASE: Duration = Duration::from_millis(3500);
+pub const LEADER_LEASE: Duration = Duration::from_millis(3000);
 /// Pause between renewals of that lease.
 pub const RENEW_EVERY: Duration = Duration::from_millis(700);
 /// Subtracted from the lease's life besides drift: time between our check and the packet's
@@ -66,7 +66,7 @@
 /// Share by which two steady clocks may disagree: 0.05% each side.
 pub const DRIFT: f64 = 0.001;
 /// How long a pledge not to campaign lasts. A restarted process sits this out as well.
-pub const PLEDGE: Duration = Duration::from_millis(3000);
+pub const PLEDGE: Duration = Duration::from_millis(2000);
 /// Pause between the leader's messages to each peer.
 pub const MESH_EVERY: Duration = Duration::from_millis(500);
 /// Upper bound of the random pause before a campaign.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -822,13 +822,17 @@
         live.sort_by(|a, b| (a.1.accepted_ms, a.0).cmp(&(b.1.accepted_ms, b.0)));
         let mut claimed = vec![Amount::default(); params.teams.len()];
         let mut hidden = vec![Amount::default(); params.teams.len()];
-        let mut order: Vec<(Urgency, bool, usize)> = Vec::new();
+        let mut order: Vec<(Urgency, bool, bool, usize)> = Vec::new();
         for (at, (id, job)) in live.iter().enumerate() {
             let Some(&team) = self.teams.get(&job.spec.team) else { continue };
             claimed[team] = claimed[team].plus(&job.need.times(job.spec.tasks));
             let beyond = !claimed[team].fits(&params.teams[team].guarantee());
-            order.push((job.spec.urgency, beyond, at));
             let work = &self.work[*id];
+            // A job that has started as many tasks as its team may run at once has had its turn:
+            // a big one does not starve the small ones behind it.
+            let started = job.done_count() + work.placed.len() as u64;
+            let turn = placement::copies(&params.teams[team].most(), &job.need);
+            order.push((job.spec.urgency, beyond, started >= turn, at));
             if work.old && !unsure.is_empty() {
                 let unseen = job
                     .spec
@@ -856,7 +860,7 @@
         let mut budget = PLAN_TASKS_MAX;
         let mut wake: Option<Instant> = None;
         let mut updates: Vec<(JobId, u32)> = Vec::new();
-        for (_, _, at) in order {
+        for (_, _, _, at) in order {
             if budget == 0 {
                 self.plan_wanted = true;
                 break;
