Three controllers against stand-ins in simulated time, with a rule checker

Found by the first run of a_cut_between_zones: at the end of a cut the first machine to report made its zone count as heard, and the others were deleted as silent beyond their lease. The zone now has four report intervals to come back.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -41,10 +41,10 @@
 pub const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a follow waits at the state service.
 pub const FOLLOW_WAIT: Duration = Duration::from_secs(8);
-/// Pause after a follow answer, so that a burst of changes costs at most 25 requests a second.
-pub const FOLLOW_PAUSE: Duration = Duration::from_millis(40);
-/// Pause between two read-index syncs of one process.
-pub const SYNC_PAUSE: Duration = Duration::from_millis(25);
+/// Pause after a follow answer, so that a burst of changes costs at most 14 requests a second.
+pub const FOLLOW_PAUSE: Duration = Duration::from_millis(70);
+/// Pause between two read-index syncs of one process: polls that come meanwhile share the next.
+pub const SYNC_PAUSE: Duration = Duration::from_millis(80);
 /// Pause after a failed call to the state service, grown by a random half.
 pub const STATE_RETRY: Duration = Duration::from_millis(250);
 /// A process that has had no answer from the state service for this long counts it as lost.
@@ -104,7 +104,7 @@
 pub const HIRE_SETTLE: Duration = Duration::from_millis(1500);
 
 /// Pause between two looks at everything that depends on time.
-pub const TICK: Duration = Duration::from_millis(100);
+pub const TICK: Duration = Duration::from_millis(80);
 /// Shortest pause between two planning rounds.
 pub const PLAN_EVERY: Duration = Duration::from_millis(120);
 /// Count. Tasks considered in one planning round; the rest waits for the next.
--- a/src/election.rs
+++ b/src/election.rs
@@ -4,7 +4,8 @@
 use crate::ids::{LeaseId, NodeName, Revision, Token};
 use crate::state::{Cache, LEADER_KEY, LeaderRecord, StateCall, StateReply, TOKEN_KEY};
 use crate::wire::{Data, Guard, Txn, Write};
-use rand::Rng;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -50,6 +51,7 @@
     pledged_until: Instant,
     /// Pledges that we hold, by peer: until when each surely lasts.
     pledges: HashMap<NodeName, Instant>,
+    random: StdRng,
 }
 
 /// What a lease or pledge of `life`, counted from when it was asked for, is surely worth.
@@ -58,7 +60,7 @@
 }
 
 impl Election {
-    pub fn new(me: NodeName, peers: usize, now: Instant) -> Election {
+    pub fn new(me: NodeName, peers: usize, seed: u64, now: Instant) -> Election {
         Election {
             me,
             peers,
@@ -71,6 +73,7 @@
             campaign_at: if peers == 0 { now } else { now + PLEDGE },
             pledged_until: now,
             pledges: HashMap::new(),
+            random: StdRng::seed_from_u64(seed),
         }
     }
 
@@ -134,7 +137,7 @@
         match &self.role {
             Role::Follower => {
                 if !cache.loaded || cache.leader.is_some() || state_lost {
-                    let jitter = CAMPAIGN_JITTER.mul_f64(rand::rng().random::<f64>());
+                    let jitter = CAMPAIGN_JITTER.mul_f64(self.random.random::<f64>());
                     self.campaign_at = self.campaign_at.max(now + jitter);
                 } else if now >= self.campaign_at.max(self.pledged_until) {
                     self.role = Role::Asking;
@@ -271,7 +274,7 @@
 
     fn leader(now: Instant) -> (Election, Cache, Instant) {
         let mut cache = loaded();
-        let mut election = Election::new(NodeName::new("a"), 2, now);
+        let mut election = Election::new(NodeName::new("a"), 2, 0, now);
         let now = now + PLEDGE * 2;
         let call = election.poll(&cache, false, now).remove(0);
         let reply = StateReply::Lease(LeaseId(7));
@@ -313,7 +316,7 @@
         let record = LeaderRecord { node: NodeName::new("a"), token: Token(1) };
         cache.leader = Some((record, Revision(3)));
         cache.token = (Token(1), Revision(3));
-        let mut follower = Election::new(NodeName::new("b"), 2, now);
+        let mut follower = Election::new(NodeName::new("b"), 2, 0, now);
         cache.leader = cache.leader.take();
         assert!(follower.pledge(Token(1), &cache, now + PLEDGE));
         cache.leader = None;
@@ -323,7 +326,7 @@
         assert_eq!(follower.poll(&cache, false, now + PLEDGE * 2 + TICK).len(), 1);
         // With a campaign under way it gets none either.
         assert!(!follower.pledge(Token(1), &cache, now + PLEDGE * 2 + TICK));
-        let mut restarted = Election::new(NodeName::new("c"), 2, now);
+        let mut restarted = Election::new(NodeName::new("c"), 2, 0, now);
         assert!(restarted.poll(&cache, false, now + PLEDGE - TICK).is_empty());
     }
 
@@ -331,7 +334,7 @@
     fn a_campaign_without_a_verdict_is_settled_by_ending_its_lease() {
         let now = Instant::now();
         let cache = loaded();
-        let mut election = Election::new(NodeName::new("a"), 0, now);
+        let mut election = Election::new(NodeName::new("a"), 0, 0, now);
         let call = election.poll(&cache, false, now).remove(0);
         let reply = StateReply::Lease(LeaseId(7));
         let (mut calls, _) = election.on_reply(&call, now, &reply, &cache, now);
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -66,6 +66,8 @@
     plan_wanted: bool,
     /// Machines kept as warm room.
     reserved: HashSet<MachineId>,
+    /// When each zone was last found silent.
+    zone_silent_at: Vec<Option<Instant>>,
     pub grants: Grants,
     pub direct: Vec<(MachineId, SocketAddr, Direct)>,
     pub last_report: Instant,
@@ -86,6 +88,7 @@
         let mut foreman = Foreman {
             token,
             grants: Grants::new(token, peers, now),
+            zone_silent_at: vec![None; settings.platform.params.zones.len()],
             leader_rev,
             since: now,
             counter: 0,
@@ -648,7 +651,16 @@
 
     fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let lease = self.settings.worker_lease();
-        let silent = self.silent_zones(now);
+        for (zone, silent) in self.silent_zones(now).into_iter().enumerate() {
+            if silent {
+                self.zone_silent_at[zone] = Some(now);
+            }
+        }
+        // When a cut ends, the machines behind it come back one by one: the last to report is
+        // not dead because the first has reported.
+        let back = self.settings.report_every() * 4;
+        let cut_off: Vec<bool> =
+            self.zone_silent_at.iter().map(|at| at.is_some_and(|at| now < at + back)).collect();
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
         for machine in self.machines.values_mut() {
@@ -666,7 +678,7 @@
             if (!machine.confirmed || !machine.entries.is_empty())
                 && machine.life == Life::Up
                 && machine.lease_over(None, lease, now)
-                && !silent[machine.zone]
+                && !cut_off[machine.zone]
             {
                 // Another controller might still answer it. Its deletion proves that nothing
                 // runs there, unless a whole zone is cut off: that one is waited for.
--- a/src/node.rs
+++ b/src/node.rs
@@ -78,13 +78,13 @@
 }
 
 impl Node {
-    pub fn new(settings: Arc<Settings>, now: Instant) -> Option<Node> {
+    pub fn new(settings: Arc<Settings>, seed: u64, now: Instant) -> Option<Node> {
         let p = &settings.platform;
         let nodes = p.others.len() + 1;
         let limits = &p.params.state;
         Some(Node {
-            state: StateCore::new(limits.rps, limits.write_rps, limits.txn_ops, nodes, now),
-            election: Election::new(p.host_name.clone(), p.others.len(), now),
+            state: StateCore::new(limits.rps, limits.write_rps, limits.txn_ops, nodes, seed, now),
+            election: Election::new(p.host_name.clone(), p.others.len(), seed, now),
             cloud: CloudCore::new(p.params.cloud.rps, now),
             foreman: None,
             api: Api::new(settings.clone())?,
@@ -527,7 +527,7 @@
         dialers.insert(peer.host_name.clone(), tx);
     }
     let client = Client::start();
-    let Some(mut node) = Node::new(settings.clone(), Instant::now()) else {
+    let Some(mut node) = Node::new(settings.clone(), rand::random(), Instant::now()) else {
         return Err(std::io::Error::other("histogram bounds"));
     };
     let mut replies: HashMap<u64, oneshot::Sender<Response>> = HashMap::new();
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,8 @@
 use crate::ids::{JobId, LeaseId, MachineId, NodeName, Revision, Token};
 use crate::jobs::{self, CHUNK_PREFIX, JOB_PREFIX, Jobs};
 use crate::wire::{self, Committed, Data, Flavor, LeaseLife, LeaseName, Txn, Write};
-use rand::Rng;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -315,12 +316,20 @@
     rps: f64,
     write_rps: f64,
     nodes: f64,
+    random: StdRng,
     pub calls: VecDeque<(u64, StateCall)>,
     pub events: VecDeque<StateEvent>,
 }
 
 impl StateCore {
-    pub fn new(rps: f64, write_rps: f64, txn_ops: usize, nodes: usize, now: Instant) -> Self {
+    pub fn new(
+        rps: f64,
+        write_rps: f64,
+        txn_ops: usize,
+        nodes: usize,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
         let mut core = StateCore {
             cache: Cache::default(),
             txn_ops,
@@ -342,6 +351,7 @@
             rps: rps * STATE_BUDGET,
             write_rps: write_rps * STATE_BUDGET,
             nodes: nodes as f64,
+            random: StdRng::seed_from_u64(seed),
             calls: VecDeque::new(),
             events: VecDeque::new(),
         };
@@ -482,8 +492,8 @@
         self.call(StateCall::Commit(txn.clone()), Doing::Batch { items: taken, txn }, now);
     }
 
-    fn pause() -> Duration {
-        STATE_RETRY.mul_f64(1.0 + rand::rng().random::<f64>() / 2.0)
+    fn pause(&mut self) -> Duration {
+        STATE_RETRY.mul_f64(1.0 + self.random.random::<f64>() / 2.0)
     }
 
     pub fn on_reply(&mut self, id: u64, reply: StateReply, now: Instant) {
@@ -507,7 +517,7 @@
                         self.take_news(news);
                     }
                     StateReply::Gone => self.reload(),
-                    _ => self.follow_after = now + Self::pause(),
+                    _ => self.follow_after = now + self.pause(),
                 }
             }
             Doing::Sync { tickets, sent } => {
@@ -525,7 +535,7 @@
                         if matches!(other, StateReply::Gone) {
                             self.reload();
                         }
-                        self.sync_after = now + Self::pause();
+                        self.sync_after = now + self.pause();
                         self.sync_wanted.extend(tickets);
                     }
                 }
@@ -552,7 +562,7 @@
                         }
                     }
                     other => {
-                        self.batch_after = now + Self::pause();
+                        self.batch_after = now + self.pause();
                         let outcome = match other {
                             StateReply::Refused => Outcome::Refused,
                             _ => Outcome::Unknown,
@@ -609,11 +619,11 @@
     }
 
     fn on_page(&mut self, reply: StateReply, now: Instant) {
-        let Some(loading) = &mut self.loading else { return };
         let StateReply::Page(page) = reply else {
-            self.follow_after = now + Self::pause();
+            self.follow_after = now + self.pause();
             return;
         };
+        let Some(loading) = &mut self.loading else { return };
         loading.first.get_or_insert(page.rev);
         loading.last = page.rev;
         loading.after = page.rows.last().map(|row| row.key.clone()).or(loading.after.take());
@@ -655,7 +665,7 @@
     use crate::wire::Guard;
 
     fn core(now: Instant) -> StateCore {
-        let mut core = StateCore::new(100.0, 100.0, 4, 1, now);
+        let mut core = StateCore::new(100.0, 100.0, 4, 1, 0, now);
         core.poll(now);
         let (id, _) = core.calls.pop_front().unwrap();
         let page = wire::Page { rows: vec![], truncated: false, rev: Revision(5) };
--- /dev/null
+++ b/tests/cluster.rs
@@ -0,0 +1,1074 @@
+//! Three controllers against stand-ins for the state service, the cloud and the workers, in
+//! simulated time with fixed seeds. An independent checker watches the rules.
+//!
+//! The stand-ins follow PROTOCOL and know nothing of the controllers' insides. Messages are
+//! delayed at random, lost by cuts, or held back and delivered when the cut ends.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use troutspindle::cloud::CloudCall;
+use troutspindle::foreman::Direct;
+use troutspindle::http::{CallError, Method, Request, Response};
+use troutspindle::ids::{Attempt, JobId, LeaseId, MachineId, NodeName, Revision, TaskId, Token};
+use troutspindle::mesh::MeshMessage;
+use troutspindle::node::{Effect, Event, Node};
+use troutspindle::settings::Settings;
+use troutspindle::state::{StateCall, StateReply};
+use troutspindle::wire::{
+    self, Change, Data, Flavor, Flavors, JobSpec, JobStatus, JobView, Listed, ListedState,
+    MachineNames, MachinePage, Misdirected, News, Order, Orders, Page, Report, ReportedTask, Row,
+    Shape, TaskState, Urgency, Write,
+};
+
+const LEASE_MS: u64 = 14_000;
+const REPORT_MS: u64 = 2000;
+const CANCEL_MS: u64 = 32_000;
+const NODES: usize = 3;
+const ZONES: [&str; 2] = ["a", "b"];
+
+fn settings(node: usize) -> Arc<Settings> {
+    let others: Vec<String> = (0..NODES)
+        .filter(|n| *n != node)
+        .map(|n| format!(r#"{{"host_name":"n-{n}","peer_addr":"127.0.0.1:{}"}}"#, 2 + n))
+        .collect();
+    let text = format!(
+        r#"{{"host_name":"n-{node}","listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
+        "others":[{}],"external":{{"cloud":"127.0.0.1:8","state":"127.0.0.1:9"}},
+        "params":{{"zones":["a","b"],"teams":[{{"name":"t","cpus":40.0,"cpus_max":48.0}}],
+        "workers":{{"report_s":2.0,"lease_s":14.0,"cancel_s":32.0}},
+        "state":{{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":12}},
+        "cloud":{{"rps":5.0,"list_lag_s":3.0}},"resources":{{"max_sockets":700}}}}}}"#,
+        others.join(",")
+    );
+    Arc::new(Settings::parse(&text, None).unwrap())
+}
+
+/// What is due at some time.
+enum Due {
+    Tick(usize),
+    /// A message reaches the node, if the incarnation it was meant for still runs.
+    Node(usize, u32, Event),
+    State(usize, u32, u64, StateCall),
+    Cloud(usize, u32, u64, CloudCall),
+    Direct(usize, u32, MachineId, Direct),
+    /// A report reaches a node.
+    Hello(usize, MachineId, Vec<u8>, u64),
+    HelloAnswer(MachineId, u64, Response),
+    Worker(MachineId),
+    Fault(Fault),
+    User(u64),
+    UserAsks(usize, u64, Request),
+    UserAnswer(u64, Response),
+    Restart(usize),
+    LeaseCheck,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Crash(usize),
+    /// Between a node and everything but the state service and the cloud.
+    CutNode(usize, bool),
+    /// Between zones: node 1 stands in zone b, the others in zone a.
+    CutZones(bool),
+    Outage(bool),
+    TakeMachine,
+}
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Data, u64, Option<u64>)>,
+    rev: u64,
+    log: Vec<(u64, String, Option<Data>)>,
+    leases: HashMap<u64, (u64, u64)>,
+    next_lease: u64,
+    out: bool,
+    waiting: Vec<(usize, u32, u64, u64, u64)>,
+}
+
+struct Running {
+    attempt: Attempt,
+    state: TaskState,
+    why: Option<String>,
+    ready_at: u64,
+    ends_at: Option<u64>,
+}
+
+struct Worker {
+    zone: usize,
+    spot: bool,
+    up_at: u64,
+    gone: bool,
+    session: u64,
+    seq: u64,
+    token: Token,
+    renewed: u64,
+    target: usize,
+    asked: Option<(u64, u64, u64)>,
+    next_report: u64,
+    changed: bool,
+    images: Vec<String>,
+    tasks: BTreeMap<TaskId, Running>,
+}
+
+struct UserJob {
+    spec: JobSpec,
+    accepted: bool,
+    abort_at: Option<u64>,
+    told_cancelled: Option<u64>,
+    told_done: bool,
+    /// When it asked last, and for what: 0 submit, 1 poll, 2 abort.
+    asked: Option<(u64, u8)>,
+    last_good: u64,
+}
+
+struct World {
+    t: u64,
+    base: Instant,
+    random: StdRng,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    due: HashMap<u64, Due>,
+    next_due: u64,
+    nodes: Vec<Option<Node>>,
+    incarnation: Vec<u32>,
+    tickets: Vec<HashMap<u64, Ticket>>,
+    next_ticket: u64,
+    store: Store,
+    workers: BTreeMap<MachineId, Worker>,
+    hired: HashMap<String, Vec<MachineId>>,
+    next_machine: u64,
+    jobs: BTreeMap<u64, UserJob>,
+    finished: HashMap<TaskId, bool>,
+    cut_node: [bool; NODES],
+    cut_zones: bool,
+    held: Vec<Due>,
+    broken: Vec<String>,
+    starts: u64,
+}
+
+enum Ticket {
+    Hello(MachineId, u64),
+    User(u64),
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut world = World {
+            t: 0,
+            base: Instant::now(),
+            random: StdRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            due: HashMap::new(),
+            next_due: 0,
+            nodes: Vec::new(),
+            incarnation: vec![0; NODES],
+            tickets: (0..NODES).map(|_| HashMap::new()).collect(),
+            next_ticket: 100,
+            store: Store { rev: 1, ..Store::default() },
+            workers: BTreeMap::new(),
+            hired: HashMap::new(),
+            next_machine: 0,
+            jobs: BTreeMap::new(),
+            finished: HashMap::new(),
+            cut_node: [false; NODES],
+            cut_zones: false,
+            held: Vec::new(),
+            broken: Vec::new(),
+            starts: 0,
+        };
+        for node in 0..NODES {
+            world.nodes.push(Node::new(settings(node), seed * 10 + node as u64, world.base));
+            world.at(1 + node as u64, Due::Tick(node));
+        }
+        world.at(50, Due::LeaseCheck);
+        world
+    }
+
+    fn now(&self) -> Instant {
+        self.base + Duration::from_millis(self.t)
+    }
+
+    fn at(&mut self, t: u64, due: Due) {
+        self.next_due += 1;
+        self.queue.push(Reverse((t, self.next_due)));
+        self.due.insert(self.next_due, due);
+    }
+
+    fn soon(&mut self, due: Due) {
+        let slow = if self.random.random_range(0..50) == 0 { 300 } else { 12 };
+        let delay = self.random.random_range(1..slow);
+        self.at(self.t + delay, due);
+    }
+
+    fn break_rule(&mut self, what: String) {
+        self.broken.push(format!("{} ms: {what}", self.t));
+    }
+
+    fn node_zone(node: usize) -> usize {
+        usize::from(node == 1)
+    }
+
+    fn cut(&self, node: usize, zone: usize) -> bool {
+        self.cut_node[node] || (self.cut_zones && Self::node_zone(node) != zone)
+    }
+
+    fn run(&mut self, until: u64) {
+        while let Some(&Reverse((t, n))) = self.queue.peek() {
+            if t > until {
+                break;
+            }
+            self.queue.pop();
+            self.t = t;
+            if let Some(due) = self.due.remove(&n) {
+                self.step(due);
+            }
+        }
+    }
+
+    fn step(&mut self, due: Due) {
+        match due {
+            Due::Tick(node) => {
+                self.tell(node, Event::Tick);
+                self.at(self.t + 40, Due::Tick(node));
+            }
+            Due::Node(node, incarnation, event) => {
+                if self.incarnation[node] == incarnation {
+                    self.tell(node, event);
+                }
+            }
+            Due::State(node, incarnation, id, call) => self.state(node, incarnation, id, call),
+            Due::Cloud(node, incarnation, id, call) => self.cloud(node, incarnation, id, call),
+            Due::Direct(node, incarnation, machine, direct) => {
+                self.direct(node, incarnation, machine, direct);
+            }
+            Due::Hello(node, machine, body, id) => {
+                if self.cut(node, self.workers[&machine].zone) {
+                    return;
+                }
+                if self.nodes[node].is_none() {
+                    return self.soon(Due::HelloAnswer(machine, id, Response::empty(599)));
+                }
+                let ticket = self.ticket(node, Ticket::Hello(machine, id));
+                let request = Request { method: Method::Post, target: "/hello".into(), body };
+                self.tell(node, Event::Http(ticket, request));
+            }
+            Due::HelloAnswer(machine, id, response) => self.hello_answer(machine, id, response),
+            Due::Worker(machine) => self.worker(machine),
+            Due::Fault(fault) => self.fault(fault),
+            Due::User(job) => self.user(job),
+            Due::UserAsks(node, job, request) => {
+                if self.cut_node[node] {
+                    return;
+                }
+                if self.nodes[node].is_none() {
+                    return self.soon(Due::UserAnswer(job, Response::empty(599)));
+                }
+                let ticket = self.ticket(node, Ticket::User(job));
+                self.tell(node, Event::Http(ticket, request));
+            }
+            Due::UserAnswer(job, response) => self.user_answer(job, &response),
+            Due::Restart(node) => {
+                let seed = self.random.random();
+                self.nodes[node] = Node::new(settings(node), seed, self.now());
+            }
+            Due::LeaseCheck => {
+                self.end_leases();
+                self.at(self.t + 50, Due::LeaseCheck);
+            }
+        }
+    }
+
+    fn ticket(&mut self, node: usize, ticket: Ticket) -> u64 {
+        self.next_ticket += 1;
+        self.tickets[node].insert(self.next_ticket, ticket);
+        self.next_ticket
+    }
+
+    fn tell(&mut self, node: usize, event: Event) {
+        let now = self.now();
+        let Some(core) = &mut self.nodes[node] else { return };
+        core.handle(event, now);
+        let effects = std::mem::take(&mut core.out);
+        let incarnation = self.incarnation[node];
+        for effect in effects {
+            match effect {
+                Effect::Reply(ticket, response) => match self.tickets[node].remove(&ticket) {
+                    Some(Ticket::Hello(machine, id))
+                        if !self.cut(node, self.workers[&machine].zone) =>
+                    {
+                        self.soon(Due::HelloAnswer(machine, id, response));
+                    }
+                    Some(Ticket::User(job)) if !self.cut_node[node] => {
+                        self.soon(Due::UserAnswer(job, response));
+                    }
+                    _ => {}
+                },
+                Effect::State(id, call) => self.soon(Due::State(node, incarnation, id, call)),
+                Effect::Cloud(id, call) => self.soon(Due::Cloud(node, incarnation, id, call)),
+                Effect::Direct(machine, _, direct) => {
+                    self.soon(Due::Direct(node, incarnation, machine, direct));
+                }
+                Effect::Mesh(peer, message) => self.mesh(node, &peer, message),
+            }
+        }
+    }
+
+    fn mesh(&mut self, from: usize, to: &NodeName, message: MeshMessage) {
+        let to: usize = to.as_str()[2..].parse().unwrap();
+        let due = Due::Node(to, self.incarnation[to], Event::Mesh(message));
+        if self.cut(from, Self::node_zone(to)) || self.cut_node[to] {
+            // Held back by the network, and delivered when the cut ends.
+            self.held.push(due);
+        } else {
+            self.soon(due);
+        }
+    }
+
+    // ---- the state service ---------------------------------------------------------------
+
+    fn state(&mut self, node: usize, incarnation: u32, id: u64, call: StateCall) {
+        let reply = if self.store.out {
+            if let StateCall::Follow { after, wait } = &call
+                && !wait.is_zero()
+            {
+                let until = self.t + wait.as_millis() as u64;
+                self.store.waiting.push((node, incarnation, id, after.0, until));
+                return;
+            }
+            StateReply::Refused
+        } else {
+            match call {
+                StateCall::Follow { after, wait } => {
+                    if !wait.is_zero() && self.store.rev <= after.0 {
+                        let until = self.t + wait.as_millis() as u64;
+                        self.store.waiting.push((node, incarnation, id, after.0, until));
+                        return;
+                    }
+                    StateReply::News(self.news(after.0))
+                }
+                StateCall::Range { .. } => {
+                    let rows = self.store.keys.iter().map(|(key, (data, rev, _))| Row {
+                        key: key.clone(),
+                        data: data.clone(),
+                        rev: Revision(*rev),
+                    });
+                    let rows = rows.collect();
+                    StateReply::Page(Page { rows, truncated: false, rev: Revision(self.store.rev) })
+                }
+                StateCall::NewLease(life) => {
+                    self.store.next_lease += 1;
+                    let ms = life.as_millis() as u64;
+                    self.store.leases.insert(self.store.next_lease, (ms, self.t + ms));
+                    StateReply::Lease(LeaseId(self.store.next_lease))
+                }
+                StateCall::Touch(lease) => match self.store.leases.get_mut(&lease.0) {
+                    Some((ms, until)) => {
+                        *until = self.t + *ms;
+                        StateReply::Done
+                    }
+                    None => StateReply::Gone,
+                },
+                StateCall::DropLease(lease) => {
+                    self.end_lease(lease.0);
+                    StateReply::Done
+                }
+                StateCall::Commit(txn) => self.commit(txn),
+            }
+        };
+        // Now and then an answer gets lost after the deed.
+        let lost = self.random.random_range(0..200) == 0;
+        let reply = if lost { StateReply::Unknown } else { reply };
+        self.soon(Due::Node(node, incarnation, Event::State(id, reply)));
+    }
+
+    fn commit(&mut self, txn: wire::Txn) -> StateReply {
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|g| self.store.keys.get(&g.key).map_or(0, |(_, rev, _)| *rev) != g.rev.0)
+            .map(|g| g.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StateReply::Conflict(failed);
+        }
+        assert!(txn.writes.len() <= 12 && txn.guards.len() <= 48);
+        for write in &txn.writes {
+            if let Write::Put { hold: Some(lease), .. } = write
+                && !self.store.leases.contains_key(&lease.0)
+            {
+                return StateReply::NoLease;
+            }
+        }
+        self.store.rev += 1;
+        for write in txn.writes {
+            let rev = self.store.rev;
+            match write {
+                Write::Put { key, data, hold } => {
+                    self.store.log.push((rev, key.clone(), Some(data.clone())));
+                    self.store.keys.insert(key, (data, rev, hold.map(|l| l.0)));
+                }
+                Write::Delete { key } => {
+                    self.store.log.push((rev, key.clone(), None));
+                    self.store.keys.remove(&key);
+                }
+            }
+        }
+        self.wake_follows();
+        StateReply::Committed(Revision(self.store.rev))
+    }
+
+    fn news(&self, after: u64) -> News {
+        let news =
+            self.store.log.iter().filter(|(rev, _, _)| *rev > after).map(|(rev, key, data)| {
+                let (put, delete) = if data.is_some() {
+                    (Some(key.clone()), None)
+                } else {
+                    (None, Some(key.clone()))
+                };
+                Change { put, delete, data: data.clone(), rev: Revision(*rev) }
+            });
+        News { rev: Revision(self.store.rev), news: news.collect() }
+    }
+
+    fn wake_follows(&mut self) {
+        if self.store.out {
+            return;
+        }
+        let (t, rev) = (self.t, self.store.rev);
+        let ready: Vec<_> = self.store.waiting.extract_if(.., |w| w.3 < rev || w.4 <= t).collect();
+        for (node, incarnation, id, after, _) in ready {
+            let reply = StateReply::News(self.news(after));
+            self.soon(Due::Node(node, incarnation, Event::State(id, reply)));
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.store.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .store
+            .keys
+            .iter()
+            .filter(|(_, (_, _, hold))| *hold == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.store.rev += 1;
+            self.store.keys.remove(&key);
+            self.store.log.push((self.store.rev, key, None));
+        }
+        self.wake_follows();
+    }
+
+    fn end_leases(&mut self) {
+        if !self.store.out {
+            let t = self.t;
+            let ended: Vec<u64> =
+                self.store.leases.iter().filter(|(_, (_, u))| *u <= t).map(|(l, _)| *l).collect();
+            for lease in ended {
+                self.end_lease(lease);
+            }
+        }
+        self.wake_follows();
+    }
+
+    // ---- the cloud -------------------------------------------------------------------------
+
+    fn cloud(&mut self, node: usize, incarnation: u32, id: u64, call: CloudCall) {
+        let response = match call {
+            CloudCall::Flavors => Response::with(
+                200,
+                wire::encode(&Flavors {
+                    flavors: vec![Flavor {
+                        name: "f".into(),
+                        cpus: 8.0,
+                        gpus: 0.0,
+                        ram_gb: 32.0,
+                        cache_gb: 20.0,
+                        fetch_gb_per_s: 1.0,
+                        price: 1.0,
+                        spot_price: 0.3,
+                        boot_s: 4.0,
+                        zones: ZONES.map(String::from).to_vec(),
+                    }],
+                }),
+            ),
+            CloudCall::Hire(kind, hire) => {
+                let known = self.hired.get(&hire.request).cloned();
+                let alike = |w: &&Worker| !w.gone && w.zone == kind.zone && w.spot == kind.spot;
+                let held = self.workers.values().filter(alike).count();
+                let room = 6usize.saturating_sub(held).min(hire.count as usize);
+                if known.is_none() && room == 0 {
+                    Response::empty(503)
+                } else {
+                    let machines = known.unwrap_or_else(|| {
+                        (0..room).map(|_| self.rent(kind.zone, kind.spot)).collect()
+                    });
+                    self.hired.insert(hire.request, machines.clone());
+                    Response::with(200, wire::encode(&MachineNames { machines }))
+                }
+            }
+            CloudCall::Delete(machines) => {
+                for machine in machines {
+                    if let Some(worker) = self.workers.get_mut(&machine) {
+                        worker.gone = true;
+                        worker.tasks.clear();
+                    }
+                }
+                Response::empty(200)
+            }
+            CloudCall::List { .. } => {
+                let t = self.t;
+                let rows = self.workers.iter().filter(|(_, w)| !w.gone && w.up_at + 2000 <= t);
+                let machines = rows
+                    .map(|(id, worker)| Listed {
+                        machine: id.clone(),
+                        address: Some("127.0.0.1:7".into()),
+                        flavor: "f".into(),
+                        zone: ZONES[worker.zone].into(),
+                        spot: worker.spot,
+                        status: ListedState::Running,
+                        age_s: (t - worker.up_at) as f64 / 1000.0,
+                    })
+                    .collect();
+                Response::with(200, wire::encode(&MachinePage { machines, truncated: false }))
+            }
+        };
+        let lost = self.random.random_range(0..40) == 0;
+        let result = if lost { Err(CallError::Unknown) } else { Ok(response) };
+        self.soon(Due::Node(node, incarnation, Event::Cloud(id, result)));
+    }
+
+    fn rent(&mut self, zone: usize, spot: bool) -> MachineId {
+        self.next_machine += 1;
+        let id = MachineId::new(&format!("i-{:06}", self.next_machine));
+        let up_at = self.t + self.random.random_range(1000..8000);
+        self.workers.insert(
+            id.clone(),
+            Worker {
+                zone,
+                spot,
+                up_at,
+                gone: false,
+                session: 1,
+                seq: 0,
+                token: Token(0),
+                renewed: up_at,
+                target: self.random.random_range(0..NODES),
+                asked: None,
+                next_report: up_at,
+                changed: false,
+                images: Vec::new(),
+                tasks: BTreeMap::new(),
+            },
+        );
+        self.at(up_at, Due::Worker(id.clone()));
+        id
+    }
+
+    // ---- workers ---------------------------------------------------------------------------
+
+    fn worker(&mut self, id: MachineId) {
+        let t = self.t;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.gone {
+            return;
+        }
+        if t > worker.renewed + LEASE_MS {
+            worker.session += 1;
+            worker.tasks.clear();
+            worker.renewed = t;
+            worker.changed = true;
+        }
+        let mut finished = Vec::new();
+        for (task, running) in &mut worker.tasks {
+            if running.state == TaskState::Fetching && running.ready_at <= t {
+                running.state = TaskState::Running;
+                worker.changed = true;
+            }
+            if running.state == TaskState::Running && running.ends_at.is_some_and(|at| at <= t) {
+                running.state = TaskState::Exited;
+                running.why = Some("done".into());
+                worker.changed = true;
+                finished.push(task.clone());
+            }
+        }
+        for task in finished {
+            self.finished.insert(task, true);
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if let Some((_, _, since)) = worker.asked
+            && t > since + 4000
+        {
+            worker.asked = None;
+            worker.target = (worker.target + 1) % NODES;
+            worker.next_report = t + 1000;
+        }
+        if worker.asked.is_none() && (t >= worker.next_report || worker.changed) {
+            worker.changed = false;
+            worker.next_report = t + REPORT_MS;
+            worker.seq += 1;
+            let report = Self::report(&id, worker);
+            let (seq, session, target) = (worker.seq, worker.session, worker.target);
+            worker.asked = Some((seq, session, t));
+            self.soon(Due::Hello(target, id.clone(), wire::encode(&report), seq));
+        }
+        self.at(t + 100, Due::Worker(id));
+    }
+
+    fn report(id: &MachineId, worker: &Worker) -> Report {
+        let tasks = worker.tasks.iter().map(|(task, running)| ReportedTask {
+            task: task.clone(),
+            attempt: running.attempt,
+            state: running.state,
+            why: running.why.clone(),
+            saved: None,
+        });
+        Report {
+            machine: id.clone(),
+            address: "127.0.0.1:7".into(),
+            flavor: "f".into(),
+            zone: ZONES[worker.zone].into(),
+            spot: worker.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn hello_answer(&mut self, id: MachineId, seq: u64, response: Response) {
+        let t = self.t;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let Some((asked, session, since)) = worker.asked else { return };
+        if asked != seq || worker.gone {
+            return;
+        }
+        worker.asked = None;
+        if response.status != 200 {
+            match wire::decode::<Misdirected>(&response.body) {
+                Ok(to) if response.status == 421 => {
+                    worker.target = to.foreman[2..].parse().unwrap();
+                    worker.next_report = t + 300;
+                }
+                _ => {
+                    worker.target = (worker.target + 1) % NODES;
+                    worker.next_report = t + 1000;
+                }
+            }
+            return;
+        }
+        let orders: Orders = wire::decode(&response.body).unwrap();
+        if session != worker.session || orders.token < worker.token {
+            return;
+        }
+        worker.changed |= orders.token > worker.token;
+        worker.token = orders.token;
+        worker.renewed = since;
+        self.execute(&id, orders.orders);
+    }
+
+    fn direct(&mut self, node: usize, incarnation: u32, id: MachineId, direct: Direct) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let sent = match &direct {
+            Direct::Do(orders) => Some(orders.clone()),
+            Direct::Status => None,
+        };
+        let unknown = Event::Direct(id.clone(), sent.clone(), Err(CallError::Unknown));
+        if worker.gone || worker.up_at > self.t {
+            return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
+        }
+        let zone = worker.zone;
+        if self.cut(node, zone) {
+            self.held.push(Due::Direct(node, incarnation, id, direct));
+            return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let valid = sent.as_ref().is_none_or(|orders| {
+            orders.token >= worker.token && orders.session == Some(worker.session)
+        });
+        if let (Some(orders), true) = (&sent, valid) {
+            worker.token = orders.token;
+            self.execute(&id, orders.orders.clone());
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        worker.seq += 1;
+        let report = Self::report(&id, worker);
+        self.soon(Due::Node(node, incarnation, Event::Direct(id, sent, Ok(report))));
+    }
+
+    fn execute(&mut self, id: &MachineId, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.start(id, task, attempt),
+                Order::Stop { task, attempt, .. } => {
+                    let worker = self.workers.get_mut(id).unwrap();
+                    if let Some(running) = worker.tasks.get_mut(&task)
+                        && running.attempt == attempt
+                        && running.state != TaskState::Exited
+                    {
+                        running.state = TaskState::Exited;
+                        running.why = Some("halted".into());
+                        worker.changed = true;
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let worker = self.workers.get_mut(id).unwrap();
+                    if worker
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|r| r.attempt == attempt && r.state == TaskState::Exited)
+                    {
+                        worker.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, id: &MachineId, task: TaskId, attempt: Attempt) {
+        let number: u64 = task.job.as_str()[3..].parse().unwrap();
+        let Some(job) = self.jobs.get(&number) else {
+            return self.break_rule(format!("{task} is of no job"));
+        };
+        let spec = job.spec.clone();
+        let late = job.told_cancelled.is_some_and(|at| self.t > at + CANCEL_MS);
+        let t = self.t;
+        let run_ms = self.random.random_range(2000..9000);
+        let worker = self.workers.get_mut(id).unwrap();
+        if worker.tasks.get(&task).is_some_and(|r| r.attempt == attempt) {
+            return;
+        }
+        if worker.tasks.get(&task).is_some_and(|r| r.state != TaskState::Exited) {
+            return;
+        }
+        let warm = worker.images.contains(&spec.image);
+        worker.images.push(spec.image.clone());
+        let ready_at = if warm { t } else { t + 1500 };
+        let done = self.finished.contains_key(&task);
+        let ends_at =
+            (spec.shape == Shape::Array).then_some(if done { ready_at } else { ready_at + run_ms });
+        worker.tasks.insert(
+            task.clone(),
+            Running { attempt, state: TaskState::Fetching, why: None, ready_at, ends_at },
+        );
+        worker.changed = true;
+        self.starts += 1;
+        // The rules.
+        let (zone, spot) = (worker.zone, worker.spot);
+        if late {
+            self.break_rule(format!("ran_cancelled: {task}"));
+        }
+        if spot && !spec.spot {
+            self.break_rule(format!("wrong_place: {task} on spot"));
+        }
+        let mut cpus = 0.0;
+        let mut same_zone = 0;
+        let mut elsewhere = Vec::new();
+        for (other, worker) in &self.workers {
+            for (running, state) in &worker.tasks {
+                if state.state == TaskState::Exited {
+                    continue;
+                }
+                let number: u64 = running.job.as_str()[3..].parse().unwrap();
+                cpus += self.jobs[&number].spec.cpus;
+                same_zone += u64::from(running.job == task.job && worker.zone == zone);
+                if *running == task && other != id {
+                    elsewhere.push(other.clone());
+                }
+            }
+        }
+        if !elsewhere.is_empty() {
+            self.break_rule(format!("ran_twice: {task} on {id} and {elsewhere:?}"));
+        }
+        if cpus > 48.0 {
+            self.break_rule(format!("quota: {cpus}"));
+        }
+        if spec.spread && same_zone > spec.tasks.div_ceil(2) {
+            self.break_rule(format!("wrong_place: {same_zone} of {} in a zone", spec.tasks));
+        }
+    }
+
+    // ---- users -----------------------------------------------------------------------------
+
+    fn submit_at(&mut self, t: u64, number: u64, service: bool, abort_at: Option<u64>) {
+        let tasks = if service { 4 } else { self.random.random_range(1..9) };
+        let spec = JobSpec {
+            id: JobId::new(&format!("wk-{number}")),
+            class: "c".into(),
+            team: "t".into(),
+            shape: if service { Shape::Service } else { Shape::Array },
+            urgency: if service { Urgency::Production } else { Urgency::High },
+            tasks,
+            cpus: 2.0,
+            gpus: 0.0,
+            ram_gb: 4.0,
+            image: format!("img-{}", number % 3),
+            image_gb: 1.0,
+            flavors: None,
+            zone: None,
+            one_zone: false,
+            spread: service,
+            spot: !service,
+            expect_s: 5.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            due_s: None,
+        };
+        let job = UserJob {
+            spec,
+            accepted: false,
+            abort_at,
+            told_cancelled: None,
+            told_done: false,
+            asked: None,
+            last_good: t,
+        };
+        self.jobs.insert(number, job);
+        self.at(t, Due::User(number));
+    }
+
+    fn user(&mut self, number: u64) {
+        let t = self.t;
+        let job = &self.jobs[&number];
+        if job.asked.is_some_and(|(since, _)| t < since + 5000) {
+            return self.at(t + 500, Due::User(number));
+        }
+        let over = job.told_done || job.told_cancelled.is_some();
+        let id = job.spec.id.clone();
+        let (kind, request) = if !job.accepted {
+            let body = wire::encode(&job.spec);
+            (0, Request { method: Method::Post, target: "/api/jobs".into(), body })
+        } else if !over && job.abort_at.is_some_and(|at| t >= at) {
+            let target = format!("/api/jobs/{id}/abort");
+            (2, Request { method: Method::Post, target, body: Vec::new() })
+        } else {
+            (
+                1,
+                Request {
+                    method: Method::Get,
+                    target: format!("/api/jobs/{id}"),
+                    body: Vec::new(),
+                },
+            )
+        };
+        self.jobs.get_mut(&number).unwrap().asked = Some((t, kind));
+        let node = self.random.random_range(0..NODES);
+        self.soon(Due::UserAsks(node, number, request));
+        let wait = if over { 20_000 } else { 1500 };
+        self.at(t + wait, Due::User(number));
+    }
+
+    fn user_answer(&mut self, number: u64, response: &Response) {
+        let t = self.t;
+        let job = self.jobs.get_mut(&number).unwrap();
+        let Some((_, kind)) = job.asked.take() else { return };
+        if matches!(response.status, 503 | 599) {
+            return;
+        }
+        job.last_good = t;
+        let mut wrong = Vec::new();
+        if !matches!(response.status, 200 | 201) {
+            wrong
+                .push(format!("forgotten: {} of kind {kind} got {}", job.spec.id, response.status));
+        } else {
+            let view: JobView = wire::decode(&response.body).unwrap();
+            job.accepted = true;
+            let all_done = (0..job.spec.tasks as u32).all(|index| {
+                self.finished.contains_key(&TaskId { job: job.spec.id.clone(), index })
+            });
+            if view.status == JobStatus::Done && (!all_done || job.spec.shape == Shape::Service) {
+                wrong.push(format!("not_done: {}", job.spec.id));
+            }
+            let back = (job.told_done && view.status != JobStatus::Done)
+                || (job.told_cancelled.is_some() && view.status != JobStatus::Cancelled)
+                || (view.status == JobStatus::Cancelled && job.abort_at.is_none_or(|at| t < at));
+            if back {
+                wrong.push(format!("went_back: {} to {:?}", job.spec.id, view.status));
+            }
+            job.told_done |= view.status == JobStatus::Done;
+            if view.status == JobStatus::Cancelled {
+                job.told_cancelled.get_or_insert(t);
+            }
+        }
+        for what in wrong {
+            self.break_rule(what);
+        }
+    }
+
+    // ---- faults ----------------------------------------------------------------------------
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Crash(node) => {
+                self.nodes[node] = None;
+                self.incarnation[node] += 1;
+                self.tickets[node].clear();
+                self.at(self.t + 4000, Due::Restart(node));
+            }
+            Fault::CutNode(node, on) => self.cut_node[node] = on,
+            Fault::CutZones(on) => self.cut_zones = on,
+            Fault::Outage(on) => {
+                self.store.out = on;
+                let t = self.t;
+                for (ms, until) in self.store.leases.values_mut() {
+                    *until = t + *ms;
+                }
+            }
+            Fault::TakeMachine => {
+                if let Some(worker) = self.workers.values_mut().find(|w| !w.gone && w.spot) {
+                    worker.gone = true;
+                    worker.tasks.clear();
+                }
+            }
+        }
+        // Whatever was held back comes once its way is open again; what isn't is held anew.
+        for due in std::mem::take(&mut self.held) {
+            self.soon(due);
+        }
+    }
+
+    fn running(&self, number: u64) -> usize {
+        let id = &self.jobs[&number].spec.id;
+        let tasks = self.workers.values().flat_map(|w| &w.tasks);
+        tasks.filter(|(task, r)| task.job == *id && r.state == TaskState::Running).count()
+    }
+
+    fn day(seed: u64, faults: &[(u64, Fault)]) -> World {
+        let mut world = World::new(seed);
+        for n in 0..3 {
+            world.submit_at(3000, n, true, (n == 2).then_some(70_000));
+        }
+        for n in 3..18 {
+            let abort_at = (n % 5 == 0).then_some(n * 3000 + 6000);
+            world.submit_at(n * 3000, n, false, abort_at);
+        }
+        for (t, fault) in faults {
+            world.at(*t, Due::Fault(*fault));
+        }
+        world.run(170_000);
+        assert!(world.broken.is_empty(), "seed {seed}, {faults:?}: {:#?}", world.broken);
+        for (number, job) in &world.jobs {
+            let cancelled = job.told_cancelled.is_some();
+            match job.spec.shape {
+                Shape::Service if !cancelled => {
+                    assert_eq!(world.running(*number), 4, "seed {seed}: service {number}");
+                }
+                _ => assert!(job.told_done || cancelled, "seed {seed}: {number} is not over"),
+            }
+        }
+        world
+    }
+}
+
+#[test]
+fn a_quiet_day() {
+    for seed in 0..4 {
+        let world = World::day(seed, &[]);
+        assert!(world.starts > 40);
+    }
+}
+
+#[test]
+fn crashes_of_one_and_of_all() {
+    for seed in 10..16 {
+        let all = [Fault::Crash(0), Fault::Crash(1), Fault::Crash(2)];
+        let mut faults = vec![(20_000, all[seed as usize % 3]), (33_000, Fault::TakeMachine)];
+        faults.extend(all.map(|fault| (50_000, fault)));
+        World::day(seed, &faults);
+    }
+}
+
+#[test]
+fn restarts_one_after_the_other() {
+    for seed in 20..24 {
+        let faults: Vec<_> =
+            (0..6).map(|n| (20_000 + n * 8000, Fault::Crash(n as usize % 3))).collect();
+        World::day(seed, &faults);
+    }
+}
+
+#[test]
+fn an_outage_of_the_store_alone_and_with_a_crash_of_all() {
+    for seed in 30..36 {
+        let mut faults = vec![(30_000, Fault::Outage(true)), (48_000, Fault::Outage(false))];
+        if seed % 2 == 0 {
+            faults.extend((0..3).map(|n| (44_000, Fault::Crash(n))));
+        }
+        World::day(seed, &faults);
+    }
+}
+
+#[test]
+fn an_outage_does_not_cost_running_work() {
+    let mut world = World::new(37);
+    world.submit_at(3000, 0, true, None);
+    world.run(30_000);
+    let starts = world.starts;
+    assert_eq!(world.running(0), 4);
+    world.fault(Fault::Outage(true));
+    world.at(55_000, Due::Fault(Fault::Outage(false)));
+    world.run(80_000);
+    assert_eq!((world.running(0), world.starts), (4, starts));
+}
+
+#[test]
+fn a_node_is_cut_off_and_comes_back() {
+    for seed in 40..46 {
+        let node = seed as usize % 3;
+        let faults = [(30_000, Fault::CutNode(node, true)), (55_000, Fault::CutNode(node, false))];
+        World::day(seed, &faults);
+    }
+}
+
+#[test]
+fn two_zones_cannot_reach_each_other() {
+    for seed in 50..56 {
+        let faults = [
+            (30_000, Fault::CutZones(true)),
+            (30_000 + 5000 * (seed - 49), Fault::CutZones(false)),
+            (90_000, Fault::Crash(0)),
+        ];
+        World::day(seed, &faults);
+    }
+}
+
+#[test]
+fn a_cut_between_zones_does_not_cost_running_work() {
+    let mut world = World::new(57);
+    world.submit_at(3000, 0, true, None);
+    world.run(30_000);
+    let starts = world.starts;
+    world.fault(Fault::CutZones(true));
+    world.at(55_000, Due::Fault(Fault::CutZones(false)));
+    world.run(80_000);
+    assert_eq!((world.running(0), world.starts), (4, starts));
+}
+
+#[test]
+fn troubles_come_together() {
+    for seed in 60..72 {
+        let random = &mut StdRng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        for _ in 0..5 {
+            let at = random.random_range(15_000..80_000);
+            let until = at + random.random_range(3000..25_000);
+            let node = random.random_range(0..NODES);
+            match random.random_range(0..5) {
+                0 => faults.push((at, Fault::Crash(node))),
+                1 => faults.extend([
+                    (at, Fault::CutNode(node, true)),
+                    (until, Fault::CutNode(node, false)),
+                ]),
+                2 => faults.extend([(at, Fault::CutZones(true)), (until, Fault::CutZones(false))]),
+                3 => faults.extend([(at, Fault::Outage(true)), (until, Fault::Outage(false))]),
+                _ => faults.push((at, Fault::TakeMachine)),
+            }
+        }
+        World::day(seed, &faults);
+    }
+}
