--- a/src/constants.rs
+++ b/src/constants.rs
@@ -141,3 +141,11 @@
 /// Kept between the last answer on a leader's behalf without news of the store and the time by
 /// which a cancelled task must be gone.
 pub const VOUCH_MARGIN: Duration = Duration::from_secs(4);
+
+/// Pause between two moves that empty a machine: one at a time, so that each shows its effect.
+pub const CONSOLIDATE_EVERY: Duration = Duration::from_secs(10);
+/// A replica is moved only after it ran this long: users count a start that is undone within
+/// half a minute as none.
+pub const MOVE_AFTER: Duration = Duration::from_secs(45);
+/// A machine is emptied only if at most this share of it is used.
+pub const EMPTY_BELOW: f64 = 0.55;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -16,6 +16,7 @@
 };
 use crate::vouch::Grants;
 use crate::wire::{Data, Flavor, Guard, Order, Orders, Report, Shape, TaskState, Urgency, Write};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,6 +67,7 @@
     plan_wanted: bool,
     /// Machines kept as warm room.
     reserved: HashSet<MachineId>,
+    consolidate_at: Instant,
     /// When each zone was last found silent.
     zone_silent_at: Vec<Option<Instant>>,
     pub grants: Grants,
@@ -104,6 +106,7 @@
             plan_at: now,
             plan_wanted: true,
             reserved: HashSet::new(),
+            consolidate_at: now + MOVE_AFTER,
             direct: Vec::new(),
             last_report: now,
             starts: 0,
@@ -324,6 +327,10 @@
         let index = task.index;
         if let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) {
             entry.settled = true;
+            if entry.stop.as_ref().is_some_and(|stop| stop.reason == "moved") {
+                // Its service is short of a replica until it is placed again.
+                self.plan_at = now;
+            }
         }
         if live.is_some() && !done {
             let work = self.work.entry(task.job.clone()).or_default();
@@ -1036,6 +1043,10 @@
                 names.push(None);
             }
         }
+        if real_asks == 0 && unsure.is_empty() && now >= self.consolidate_at {
+            self.consolidate_at = now + CONSOLIDATE_EVERY;
+            self.consolidate(&bins, &names, cache, now);
+        }
         let total = bins.len();
         let heavy_cap = ((total as f64 * settings.operator.heavy_cap) as usize).max(1);
         let mut kinds = self.offers(&sizes, now);
@@ -1075,6 +1086,103 @@
         }
     }
 
+    /// Empties the least used machine whose replicas all fit on others that have their images,
+    /// so that it goes back to the pool and from there to the cloud (the paper's consolidation).
+    /// A move costs a replica the moment between two commands.
+    fn consolidate(
+        &mut self,
+        bins: &[Bin],
+        names: &[Option<MachineId>],
+        cache: &Cache,
+        now: Instant,
+    ) {
+        let mut order: Vec<usize> = (0..bins.len())
+            .filter(|&i| bins[i].ready && !bins[i].spot && bins[i].basket.is_some())
+            .collect();
+        let used = |i: usize| self.size(bins[i].flavor).cpu - bins[i].free.cpu;
+        order.sort_by_key(|&i| (used(i), Reverse(bins[i].index)));
+        for &source in &order {
+            let size = self.size(bins[source].flavor);
+            if used(source) as f64 > size.cpu as f64 * EMPTY_BELOW {
+                return;
+            }
+            let Some(id) = &names[source] else { continue };
+            if self.can_empty(id, source, bins, names, cache, now) {
+                tracing::info!(machine = %id, "emptied onto others");
+                if let Some(machine) = self.machines.get_mut(id) {
+                    for entry in machine.entries.values_mut() {
+                        if entry.state == TaskState::Running {
+                            entry.stop = Some(Stop { grace_s: 0.0, reason: "moved" });
+                            self.stops += 1;
+                        }
+                    }
+                }
+                return;
+            }
+        }
+    }
+
+    fn can_empty(
+        &self,
+        id: &MachineId,
+        source: usize,
+        bins: &[Bin],
+        names: &[Option<MachineId>],
+        cache: &Cache,
+        now: Instant,
+    ) -> bool {
+        let Some(machine) = self.machines.get(id) else { return false };
+        let usable = |i: &usize| {
+            let bin = &bins[*i];
+            *i != source && bin.ready && !bin.spot && bin.basket == bins[source].basket
+        };
+        let mut free: BTreeMap<u64, (usize, Amount)> =
+            (0..bins.len()).filter(usable).map(|i| (bins[i].index, (i, bins[i].free))).collect();
+        // The room that is kept warm in its zone must remain.
+        let zone = bins[source].zone;
+        let spare: u64 = (0..bins.len())
+            .filter(|&i| i != source && bins[i].ready && !bins[i].spot && bins[i].zone == zone)
+            .map(|i| bins[i].free.cpu)
+            .sum();
+        let size = self.size(machine.flavor).cpu;
+        let warm = size as f64 * self.settings.operator.warm_per_zone;
+        if (spare.saturating_sub(machine.used().cpu) as f64) < warm {
+            return false;
+        }
+        let mut moved: HashMap<(JobId, usize), u32> = HashMap::new();
+        for ((task, _), entry) in &machine.entries {
+            if entry.state == TaskState::Exited {
+                continue;
+            }
+            let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { return false };
+            let ran = entry.running_since.is_some_and(|at| now >= at + MOVE_AFTER);
+            let movable = live.spec.shape == Shape::Service && live.spec.flavors.is_none();
+            if !ran || !movable || entry.stop.is_some() || entry.state != TaskState::Running {
+                return false;
+            }
+            let Some(work) = self.work.get(&task.job) else { return false };
+            let half = (live.spec.tasks as u32).div_ceil(2);
+            let target = free.values_mut().find(|(i, room)| {
+                let zone = bins[*i].zone;
+                let there = work.placed.values().filter(|(m, _)| {
+                    m != id && self.machines.get(m).is_some_and(|m| m.zone == zone)
+                });
+                let there = there.count() as u32
+                    + moved.get(&(task.job.clone(), zone)).copied().unwrap_or(0);
+                let wanted = live.spec.zone.as_deref();
+                let here = wanted.is_none_or(|name| self.zone(name) == Some(zone));
+                let same = !live.spec.one_zone || zone == machine.zone;
+                let image = |m: &Machine| m.images.contains(&entry.image);
+                let warm = names[*i].as_ref().and_then(|m| self.machines.get(m)).is_some_and(image);
+                warm && here && same && entry.need.fits(room) && (!live.spec.spread || there < half)
+            });
+            let Some((i, room)) = target else { return false };
+            *room = room.minus(&entry.need);
+            *moved.entry((task.job.clone(), bins[*i].zone)).or_default() += 1;
+        }
+        true
+    }
+
     /// Room kept free for critical work, as asks that come last and are never started.
     fn warm_asks(&self, asks: &mut Vec<Ask>, sizes: &[Amount], silent: &[bool], team: usize) {
         let Some(size) = sizes.first() else { return };
