--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -83,6 +83,8 @@
     /// No order of a predecessor can reach it any more and all it runs is known.
     pub confirmed: bool,
     pub known_since: Instant,
+    /// When it was rented, which may be before this leader knew it.
+    pub rented: Instant,
     pub up_since: Option<Instant>,
     pub session: u64,
     seq: u64,
@@ -122,6 +124,7 @@
             recorded: false,
             confirmed: true,
             known_since: now,
+            rented: now,
             up_since: None,
             session: 0,
             seq: 0,
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -199,7 +199,7 @@
             machine.address = Some(address);
         }
         if machine.up_since.is_none() && !machine.recorded {
-            let boot_s = now.saturating_duration_since(machine.known_since).as_secs_f64();
+            let boot_s = now.saturating_duration_since(machine.rented).as_secs_f64();
             tracing::info!(machine = %machine.id, boot_s, "machine is up");
         }
         let had_notice = machine.recall_at.is_some();
@@ -578,12 +578,14 @@
             }
             if !self.machines.contains_key(&row.machine) {
                 let Some(kind) = self.kind(&row.flavor, &row.zone, row.spot) else { continue };
-                let age = Duration::from_secs_f64(row.age_s.clamp(0.0, 1e7));
-                let machine = self.add_machine(&row.machine, kind, now);
-                machine.known_since = now.checked_sub(age).unwrap_or(now);
+                self.add_machine(&row.machine, kind, now);
             }
             if let Some(machine) = self.machines.get_mut(&row.machine) {
                 machine.listed = true;
+                // A new leader knows from here how long a machine has been paid for.
+                let age = Duration::from_secs_f64(row.age_s.clamp(0.0, 1e7));
+                let rented = now.checked_sub(age).unwrap_or(machine.rented);
+                machine.rented = machine.rented.min(rented);
                 if machine.address.is_none() {
                     machine.address = row.address.as_deref().and_then(|a| a.parse().ok());
                 }
@@ -598,7 +600,7 @@
             if !present.contains(&machine.id)
                 && machine.life != Life::Returning
                 && machine.silent_for(asked) > quiet
-                && asked.saturating_duration_since(machine.known_since) > lag
+                && asked.saturating_duration_since(machine.rented) > lag
             {
                 tracing::info!(machine = %machine.id, "silent and not listed");
                 machine.life = Life::Returning;
@@ -693,7 +695,7 @@
                 machine.life = Life::Returning;
             }
             let flavor = &self.flavors[machine.flavor];
-            let age = now.saturating_duration_since(machine.known_since);
+            let age = now.saturating_duration_since(machine.rented);
             let patience =
                 Duration::from_secs_f64(flavor.boot_s * BOOT_PATIENCE) + BOOT_PATIENCE_MORE;
             if machine.life == Life::Booting && age > patience {
@@ -991,7 +993,7 @@
         let mut names = Vec::new();
         for machine in self.machines.values() {
             let flavor = &self.flavors[machine.flavor];
-            let age = now.saturating_duration_since(machine.known_since);
+            let age = now.saturating_duration_since(machine.rented);
             let booting = machine.life == Life::Booting
                 && age < Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
             let up = machine.life == Life::Up
