--- a/src/constants.rs
+++ b/src/constants.rs
@@ -140,7 +140,7 @@
 pub const VOUCH_AFTER: Duration = Duration::from_millis(1600);
 /// Kept between the last answer on a leader's behalf without news of the store and the time by
 /// which a cancelled task must be gone.
-pub const VOUCH_MARGIN: Duration = Duration::from_secs(4);
+pub const VOUCH_MARGIN: Duration = Duration::from_millis(1500);
 
 /// Pause between two moves that empty a machine: one at a time, so that each shows its effect.
 pub const CONSOLIDATE_EVERY: Duration = Duration::from_secs(10);
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -655,7 +655,16 @@
             up[machine.zone] += 1;
             heard[machine.zone] += usize::from(machine.silent_for(now) < quiet);
         }
-        up.iter().zip(heard).map(|(up, heard)| *up >= 2 && heard * 4 < *up).collect()
+        // One silent machine alone may well be dead, unless its zone's controllers are silent too.
+        let names = &self.settings.platform.params.zones;
+        let deaf = |zone: usize| {
+            let others = &self.settings.platform.others;
+            let mut there = others.iter().filter(|peer| peer.location == names[zone]).peekable();
+            there.peek().is_some() && there.all(|peer| self.grants.unheard(&peer.host_name, now))
+        };
+        (0..up.len())
+            .map(|zone| up[zone] > 0 && heard[zone] * 4 < up[zone] && (up[zone] >= 2 || deaf(zone)))
+            .collect()
     }
 
     fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
--- a/src/vouch.rs
+++ b/src/vouch.rs
@@ -90,6 +90,7 @@
     /// No answer on a grant of ours, or of a predecessor, comes later than this.
     until: Instant,
     acked: u64,
+    heard: Instant,
     started: Instant,
     answered: HashMap<MachineId, Instant>,
 }
@@ -100,6 +101,7 @@
         let peer = || Peer {
             until: now + VOUCH.mul_f64(1.0 + DRIFT),
             acked: 0,
+            heard: now,
             started: now,
             answered: HashMap::new(),
         };
@@ -116,6 +118,7 @@
         now: Instant,
     ) {
         let Some(peer) = self.peers.get_mut(from) else { return };
+        peer.heard = now;
         // Delays on the way make these times later than they were, which is the safe side.
         peer.started = now.checked_sub(up).unwrap_or(self.since);
         for (machine, age_ms) in vouched {
@@ -129,6 +132,12 @@
         }
     }
 
+    /// Whether nothing has come from that controller for a while.
+    pub fn unheard(&self, peer: &NodeName, now: Instant) -> bool {
+        let silent = |peer: &Peer| now.saturating_duration_since(peer.heard) > VOUCH_AFTER;
+        self.peers.get(peer).is_none_or(silent)
+    }
+
     pub fn give(
         &mut self,
         to: &NodeName,
