Preemption: urgent tasks that find no room stop less urgent ones

Ruled out: boots (capacity was refused). Victims: on a machine with the image if there is one, least work lost, checkpoints saved.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -23,6 +23,12 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Why a task was stopped, where the reason is asked for later.
+const PREEMPTED: &str = "preempted";
+const MOVED: &str = "moved";
+
+type TaskAttempt = (TaskId, Attempt);
+
 /// A message to a worker.
 #[derive(Debug)]
 pub enum Direct {
@@ -327,7 +333,11 @@
         let index = task.index;
         if let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) {
             entry.settled = true;
-            if entry.stop.as_ref().is_some_and(|stop| stop.reason == "moved") {
+            if entry
+                .stop
+                .as_ref()
+                .is_some_and(|stop| stop.reason == MOVED || stop.reason == PREEMPTED)
+            {
                 // Its service is short of a replica until it is placed again.
                 self.plan_at = now;
             }
@@ -1065,6 +1075,14 @@
         let may_rent = now >= self.since + HIRE_SETTLE
             && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
         let offers = if may_rent { kinds.iter().map(|(_, o)| o.clone()).collect() } else { vec![] };
+        let room: Vec<Amount> = team_room.clone();
+        let urgent: Vec<(usize, Ask)> = asks
+            .iter()
+            .take(real_asks)
+            .cloned()
+            .enumerate()
+            .filter(|(_, ask)| ask.urgency <= Urgency::High)
+            .collect();
         let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap });
 
         self.reserved.clear();
@@ -1082,6 +1100,8 @@
             let id = id.clone();
             self.start(&id, task, cache, now);
         }
+        let unplaced = urgent.into_iter().map(|(n, ask)| (sources[n].1.len(), ask)).collect();
+        self.preempt(unplaced, &room, cache, now);
         for (n, count) in plan.hires.iter().enumerate() {
             if *count > 0 {
                 let (kind, _) = &kinds[n];
@@ -1097,6 +1117,109 @@
         }
     }
 
+    /// Stops less urgent tasks where that makes room for urgent ones that found none: on a
+    /// machine that has the image if there is one, and those that lose least.
+    fn preempt(
+        &mut self,
+        unplaced: Vec<(usize, Ask)>,
+        room: &[Amount],
+        cache: &Cache,
+        now: Instant,
+    ) {
+        // Room that earlier preemptions are about to free.
+        let mut coming = self
+            .machines
+            .values()
+            .flat_map(|machine| machine.entries.values())
+            .filter(|entry| entry.state != TaskState::Exited)
+            .filter(|entry| entry.stop.as_ref().is_some_and(|stop| stop.reason == PREEMPTED))
+            .count();
+        for (count, ask) in unplaced {
+            if ask.gang {
+                continue;
+            }
+            let count = count.min(placement::copies(&room[ask.team], &ask.need) as usize);
+            for _ in 0..count {
+                if coming > 0 {
+                    coming -= 1;
+                } else if !self.preempt_one(&ask, cache, now) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn preempt_one(&mut self, ask: &Ask, cache: &Cache, now: Instant) -> bool {
+        let quiet = self.settings.report_every() * 2;
+        let mut best: Option<(bool, f64, MachineId, Vec<TaskAttempt>)> = None;
+        for machine in self.machines.values() {
+            let fits = machine.life == Life::Up
+                && machine.confirmed
+                && machine.recorded
+                && machine.recall_at.is_none()
+                && machine.silent_for(now) < quiet
+                && (ask.spot || !machine.spot)
+                && ask.zone.is_none_or(|zone| zone == machine.zone)
+                && ask.zone_room[machine.zone] > 0
+                && !ask.avoid.contains(&machine.index)
+                && ask.flavors.as_ref().is_none_or(|list| list.contains(&machine.flavor));
+            if !fits {
+                continue;
+            }
+            // What each less urgent task here would lose by being stopped.
+            let mut victims: Vec<(f64, &TaskId, Attempt, Amount)> = machine
+                .entries
+                .iter()
+                .filter(|(_, entry)| {
+                    entry.stop.is_none()
+                        && matches!(entry.state, TaskState::Running | TaskState::Fetching)
+                })
+                .filter_map(|((task, attempt), entry)| {
+                    let live = cache.jobs.get(&task.job).and_then(Job::live)?;
+                    let spec = &live.spec;
+                    if spec.urgency <= ask.urgency || spec.shape != Shape::Array {
+                        return None;
+                    }
+                    let ran = entry
+                        .running_since
+                        .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+                    let loses = if spec.checkpoint_s > 0.0 { spec.save_s } else { ran };
+                    Some((loses, task, *attempt, entry.need))
+                })
+                .collect();
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut free = self.size(machine.flavor).minus(&machine.used());
+            let mut chosen = Vec::new();
+            let mut loss = 0.0;
+            for (loses, task, attempt, need) in victims {
+                if ask.need.fits(&free) {
+                    break;
+                }
+                free = free.plus(&need);
+                loss += loses;
+                chosen.push((task.clone(), attempt));
+            }
+            if !ask.need.fits(&free) || chosen.is_empty() {
+                continue;
+            }
+            let has = |image: &Arc<str>| self.images.get(image) == Some(&ask.image);
+            let cold = !machine.images.iter().any(has);
+            if best.as_ref().is_none_or(|(c, l, ..)| (cold, loss) < (*c, *l)) {
+                best = Some((cold, loss, machine.id.clone(), chosen));
+            }
+        }
+        let Some((_, loss, id, chosen)) = best else { return false };
+        tracing::info!(machine = %id, tasks = chosen.len(), loss, "preempted");
+        for key in chosen {
+            let save_s = cache.jobs.get(&key.0.job).and_then(Job::live).map(|l| l.spec.save_s);
+            if let Some(entry) = self.machines.get_mut(&id).and_then(|m| m.entries.get_mut(&key)) {
+                entry.stop = Some(Stop { grace_s: save_s.unwrap_or(0.0), reason: PREEMPTED });
+                self.stops += 1;
+            }
+        }
+        true
+    }
+
     /// Empties the least used machine whose replicas all fit on others that have their images,
     /// so that it goes back to the pool and from there to the cloud (the paper's consolidation).
     /// A move costs a replica the moment between two commands.
@@ -1123,7 +1246,7 @@
                 if let Some(machine) = self.machines.get_mut(id) {
                     for entry in machine.entries.values_mut() {
                         if entry.state == TaskState::Running {
-                            entry.stop = Some(Stop { grace_s: 0.0, reason: "moved" });
+                            entry.stop = Some(Stop { grace_s: 0.0, reason: MOVED });
                             self.stops += 1;
                         }
                     }
