Grants also go by way of the store; silent machines are neither idle nor barred with their zone

The controller behind the cut came back without a grant, and the new leader returned the zone's silent machines as idle. Questions to a leader now have numbers that no other incarnation shares, so a late answer matches none.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -149,3 +149,5 @@
 pub const MOVE_AFTER: Duration = Duration::from_secs(45);
 /// A machine is emptied only if at most this share of it is used.
 pub const EMPTY_BELOW: f64 = 0.55;
+/// Pause between messages that go by way of the store to a controller out of reach.
+pub const RELAY_EVERY: Duration = Duration::from_secs(3);
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -629,10 +629,14 @@
     /// A grant for another controller: it may answer for all machines that we hear.
     pub fn grant(&mut self, to: &NodeName, seq: u64, now: Instant) -> Option<MeshMessage> {
         self.grants.number += 1;
-        let quiet = self.settings.report_every() * 2;
+        // Later than a zone is found silent: its machines are the ones to be vouched for.
+        let quiet = self.settings.report_every() * 3;
+        let cut_off = self.cut_off_zones(now);
         let mut barred = Vec::new();
         for machine in self.machines.values_mut() {
-            if machine.silent_for(now) > quiet {
+            let told = self.grants.told(&machine.id);
+            let vouched = told.is_some_and(|at| now.saturating_duration_since(at) < quiet);
+            if machine.silent_for(now) > quiet && !cut_off[machine.zone] && !vouched {
                 machine.barred_since.get_or_insert(self.grants.number);
                 barred.push(machine.id.clone());
             } else {
@@ -677,18 +681,21 @@
             .collect()
     }
 
-    fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
-        let lease = self.settings.worker_lease();
+    /// Zones that are silent or were so a moment ago: when a cut ends, the machines behind it
+    /// come back one by one, and the last to report is not dead because the first has reported.
+    fn cut_off_zones(&mut self, now: Instant) -> Vec<bool> {
         for (zone, silent) in self.silent_zones(now).into_iter().enumerate() {
             if silent {
                 self.zone_silent_at[zone] = Some(now);
             }
         }
-        // When a cut ends, the machines behind it come back one by one: the last to report is
-        // not dead because the first has reported.
         let back = self.settings.report_every() * 4;
-        let cut_off: Vec<bool> =
-            self.zone_silent_at.iter().map(|at| at.is_some_and(|at| now < at + back)).collect();
+        self.zone_silent_at.iter().map(|at| at.is_some_and(|at| now < at + back)).collect()
+    }
+
+    fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
+        let lease = self.settings.worker_lease();
+        let cut_off = self.cut_off_zones(now);
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
         for machine in self.machines.values_mut() {
@@ -705,7 +712,7 @@
             }
             if (!machine.confirmed || !machine.entries.is_empty())
                 && machine.life == Life::Up
-                && machine.lease_over(None, lease, now)
+                && machine.lease_over(self.grants.told(&machine.id), lease, now)
                 && !cut_off[machine.zone]
             {
                 // Another controller might still answer it. Its deletion proves that nothing
@@ -728,7 +735,23 @@
                 tracing::info!(machine = %machine.id, "faulty, given back");
                 machine.life = Life::Returning;
             }
-            if machine.life == Life::Up && machine.is_empty() && machine.recall_at.is_none() {
+            let quiet = machine.silent_for(now) > self.settings.report_every() * 2;
+            if machine.life == Life::Up
+                && quiet
+                && machine.silent_for(now) > lease * 2
+                && machine.lease_over(self.grants.told(&machine.id), lease, now)
+                && !cut_off[machine.zone]
+            {
+                tracing::info!(machine = %machine.id, "silent for long, given back");
+                machine.life = Life::Returning;
+            }
+            // A silent machine is not idle: after a take-over that finds a zone cut off, its
+            // machines would all be given back.
+            if machine.life == Life::Up
+                && !quiet
+                && machine.is_empty()
+                && machine.recall_at.is_none()
+            {
                 let since = *machine.idle_since.get_or_insert(now);
                 let idle = now.saturating_duration_since(since);
                 // A machine costs a minute at the least.
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -49,6 +49,19 @@
     Some(out)
 }
 
+/// A message as text, for the way over the store.
+pub fn to_text(message: &MeshMessage) -> Option<String> {
+    let bytes = postcard::to_stdvec(message).ok()?;
+    Some(bytes.iter().map(|byte| format!("{byte:02x}")).collect())
+}
+
+pub fn from_text(text: &str) -> Option<MeshMessage> {
+    let digits: Option<Vec<u8>> = text.chars().map(|c| Some(c.to_digit(16)? as u8)).collect();
+    let bytes: Vec<u8> =
+        digits?.chunks(2).map(|pair| pair.iter().fold(0, |a, d| a << 4 | d)).collect();
+    postcard::from_bytes(&bytes).ok()
+}
+
 /// Reads frames from whoever dials in.
 pub async fn serve(listener: TcpListener, to: mpsc::UnboundedSender<MeshMessage>) {
     loop {
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,7 +11,8 @@
 use crate::mesh::{self, MeshMessage};
 use crate::settings::Settings;
 use crate::state::{
-    FLAVORS_KEY, Item, Origin, Outcome, Rank, StateCall, StateCore, StateEvent, StateReply,
+    FLAVORS_KEY, Item, Origin, Outcome, RELAY_PREFIX, Rank, StateCall, StateCore, StateEvent,
+    StateReply,
 };
 use crate::vouch::Voucher;
 use crate::wire::{self, Data, Guard, Misdirected, Orders, Report, Write};
@@ -66,6 +67,7 @@
     peers: HashMap<NodeName, PeerView>,
     voucher: Voucher,
     started: Instant,
+    relay_at: Instant,
     mesh_at: Instant,
     mesh_seq: u64,
     asked: VecDeque<(u64, Instant)>,
@@ -91,8 +93,10 @@
             peers: HashMap::new(),
             voucher: Voucher::default(),
             started: now,
+            relay_at: now,
             mesh_at: now,
-            mesh_seq: 0,
+            // Answers to a former incarnation of this process, delivered late, match no question.
+            mesh_seq: seed >> 2,
             asked: VecDeque::new(),
             probe_in_flight: false,
             work_at: now,
@@ -127,7 +131,7 @@
                     self.step_down(now);
                 }
             }
-            Event::Mesh(message) => self.on_mesh(message, now),
+            Event::Mesh(message) => self.on_mesh(message, true, now),
             Event::Tick => self.on_tick(now),
         }
         self.pump(now);
@@ -249,20 +253,28 @@
         }
     }
 
-    fn on_mesh(&mut self, message: MeshMessage, now: Instant) {
+    /// A message of another controller, straight from it (`direct`) or by way of the store.
+    fn on_mesh(&mut self, message: MeshMessage, direct: bool, now: Instant) {
         match message {
             MeshMessage::Beat { from, seq, leading, state_lost, ack, up_ms, vouched } => {
-                self.peers.insert(from.clone(), PeerView { heard: now, state_lost });
+                if direct {
+                    self.peers.insert(from.clone(), PeerView { heard: now, state_lost });
+                }
                 if self.election.may_act(now)
                     && let Some(foreman) = &mut self.foreman
                 {
                     let up = Duration::from_millis(up_ms);
-                    foreman.grants.on_beat(&from, ack, up, &vouched, now);
+                    foreman.grants.on_beat(&from, ack, up, &vouched, direct, now);
                     if let Some(grant) = foreman.grant(&from, seq, now) {
-                        self.out.push(Effect::Mesh(from.clone(), grant));
+                        if direct {
+                            self.out.push(Effect::Mesh(from.clone(), grant));
+                        } else {
+                            self.relay(&from, &grant);
+                        }
                     }
                 }
                 if let Some(token) = leading
+                    && direct
                     && self.election.pledge(token, &self.state.cache, now)
                 {
                     let cancelled = self.api.cancelled.iter().map(|(id, _)| id.clone());
@@ -288,7 +300,7 @@
             MeshMessage::Grant { seq, token, number, barred } => {
                 let asked = self.asked.iter().find(|(s, _)| *s == seq).map(|(_, at)| *at);
                 if let Some(asked) = asked {
-                    self.voucher.take(token, number, barred, asked, now);
+                    self.voucher.take((token, number), barred, direct, asked, now);
                 }
             }
             MeshMessage::Running { token, counts } => {
@@ -299,6 +311,48 @@
         }
     }
 
+    /// A follower that does not hear its leader asks for a grant by way of the store.
+    fn relay_beat(&mut self, beat: &MeshMessage, now: Instant) {
+        let Some((leader, _)) = &self.state.cache.leader else { return };
+        let leader = leader.node.clone();
+        let heard = self.peers.get(&leader).map_or(self.started, |peer| peer.heard);
+        if leader == self.settings.platform.host_name
+            || now < self.relay_at
+            || now.saturating_duration_since(heard) < VOUCH_AFTER
+            || self.state.lost(now)
+        {
+            return;
+        }
+        self.relay_at = now + RELAY_EVERY;
+        self.relay(&leader, beat);
+    }
+
+    fn relay(&mut self, to: &NodeName, message: &MeshMessage) {
+        let origin = Origin::Relay(to.clone());
+        let Some(text) = mesh::to_text(message) else { return };
+        let room = self.settings.platform.params.state.value_kb * 1000.0;
+        if self.state.has_item(&origin) || text.len() as f64 > room {
+            return;
+        }
+        let key = format!("{RELAY_PREFIX}{}/{to}", self.settings.platform.host_name);
+        let rev = self.state.cache.relays.get(&key).copied().unwrap_or_default();
+        let guards = vec![Guard { key: key.clone(), rev }];
+        let writes = vec![Write::Put { key, data: Data::Text(text), hold: None }];
+        let change = jobs::Change { guards, writes };
+        self.state.push(Item { rank: Rank::Completion, origin, change });
+    }
+
+    /// Takes messages in that came by way of the store.
+    fn take_relayed(&mut self, now: Instant) {
+        let me = self.settings.platform.host_name.clone();
+        for (rest, text) in std::mem::take(&mut self.state.cache.relayed) {
+            let ours = rest.split_once('/').is_some_and(|(_, to)| to == me.as_str());
+            if let (true, Some(message)) = (ours, mesh::from_text(&text)) {
+                self.on_mesh(message, false, now);
+            }
+        }
+    }
+
     fn broadcast(&mut self, message: &MeshMessage) {
         for peer in &self.settings.platform.others {
             self.out.push(Effect::Mesh(peer.host_name.clone(), message.clone()));
@@ -323,6 +377,7 @@
                 vouched: self.voucher.vouched(now),
             };
             self.broadcast(&beat);
+            self.relay_beat(&beat, now);
         }
         let quiet = |at: Instant| now.saturating_duration_since(at) > STATE_LOST / 3;
         if !self.probe_in_flight && self.state.synced_at.is_none_or(quiet) {
@@ -392,6 +447,7 @@
             while let Some(event) = self.state.events.pop_front() {
                 self.on_state(event, now);
             }
+            self.take_relayed(now);
             if let Some(ElectionEvent::Lost(why)) = self.election.check(&self.state.cache) {
                 self.lost(why, now);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,6 +19,8 @@
 pub const TOKEN_KEY: &str = "t/a/token";
 pub const FLAVORS_KEY: &str = "t/a/flavors";
 pub const MACHINE_PREFIX: &str = "t/m/";
+/// Messages between controllers that cannot reach each other: `t/x/<from>/<to>`.
+pub const RELAY_PREFIX: &str = "t/x/";
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderRecord {
@@ -47,6 +49,10 @@
     pub token: (Token, Revision),
     pub flavors: (Vec<Flavor>, Revision),
     pub machines: HashMap<MachineId, (MachineRecord, Revision)>,
+    /// Revisions of the keys by which controllers relay messages.
+    pub relays: HashMap<String, Revision>,
+    /// Relayed messages not looked at yet: the key's rest, and the message in hexadecimal.
+    pub relayed: Vec<(String, String)>,
 }
 
 impl Cache {
@@ -75,6 +81,13 @@
                     self.machines.remove(&id);
                 }
             }
+        } else if let Some(rest) = key.strip_prefix(RELAY_PREFIX) {
+            if let Some(text) = value.and_then(Data::as_text)
+                && self.relays.get(key).is_none_or(|old| *old < rev)
+            {
+                self.relays.insert(key.to_owned(), rev);
+                self.relayed.push((rest.to_owned(), text.to_owned()));
+            }
         } else if key == LEADER_KEY {
             if self.leader.as_ref().is_some_and(|(_, old)| *old >= rev) {
                 return None;
@@ -206,6 +219,8 @@
     MachineKnown(MachineId),
     MachineGone(MachineId),
     Flavors,
+    /// A message for a controller out of reach.
+    Relay(NodeName),
 }
 
 #[derive(Debug, Clone)]
--- a/src/vouch.rs
+++ b/src/vouch.rs
@@ -26,17 +26,19 @@
     token: Token,
     number: u64,
     until: Instant,
-    received: Instant,
+    /// When one came over the mesh last.
+    received: Option<Instant>,
     barred: HashSet<MachineId>,
 }
 
 impl Voucher {
     /// Takes a grant that answers a question of ours asked at `asked`: its time counts from then.
+    /// One that came by way of the store (not `direct`) shows that the leader is out of reach.
     pub fn take(
         &mut self,
-        token: Token,
-        number: u64,
+        (token, number): (Token, u64),
         barred: Vec<MachineId>,
+        direct: bool,
         asked: Instant,
         now: Instant,
     ) {
@@ -45,7 +47,9 @@
         }
         let until = asked + VOUCH.mul_f64(1.0 - DRIFT);
         let barred = barred.into_iter().collect();
-        self.grant = Some(Grant { token, number, until, received: now, barred });
+        let before = self.grant.as_ref().filter(|g| g.token == token).and_then(|g| g.received);
+        let received = if direct { Some(now) } else { before };
+        self.grant = Some(Grant { token, number, until, received, barred });
     }
 
     pub fn ack(&self) -> (Token, u64) {
@@ -63,12 +67,8 @@
     /// and no later one is known (`newest`).
     pub fn answer(&mut self, machine: &MachineId, newest: Token, now: Instant) -> Option<Token> {
         let grant = self.grant.as_ref()?;
-        let heard = now.saturating_duration_since(grant.received);
-        if grant.token < newest
-            || now >= grant.until
-            || heard < VOUCH_AFTER
-            || grant.barred.contains(machine)
-        {
+        let near = grant.received.is_some_and(|at| now.saturating_duration_since(at) < VOUCH_AFTER);
+        if grant.token < newest || now >= grant.until || near || grant.barred.contains(machine) {
             return None;
         }
         self.answered.insert(machine.clone(), now);
@@ -115,10 +115,13 @@
         ack: (Token, u64),
         up: Duration,
         vouched: &[(MachineId, u64)],
+        direct: bool,
         now: Instant,
     ) {
         let Some(peer) = self.peers.get_mut(from) else { return };
-        peer.heard = now;
+        if direct {
+            peer.heard = now;
+        }
         // Delays on the way make these times later than they were, which is the safe side.
         peer.started = now.checked_sub(up).unwrap_or(self.since);
         for (machine, age_ms) in vouched {
@@ -132,6 +135,11 @@
         }
     }
 
+    /// When another controller answered the machine last, as far as it told.
+    pub fn told(&self, machine: &MachineId) -> Option<Instant> {
+        self.peers.values().filter_map(|peer| peer.answered.get(machine)).max().copied()
+    }
+
     /// Whether nothing has come from that controller for a while.
     pub fn unheard(&self, peer: &NodeName, now: Instant) -> bool {
         let silent = |peer: &Peer| now.saturating_duration_since(peer.heard) > VOUCH_AFTER;
@@ -181,12 +189,12 @@
         let now = Instant::now();
         let mut voucher = Voucher::default();
         assert_eq!(voucher.answer(&id(), Token(0), now), None);
-        voucher.take(Token(3), 1, vec![], now, now);
+        voucher.take((Token(3), 1), vec![], true, now, now);
         assert_eq!(voucher.answer(&id(), Token(3), now), None);
         assert_eq!(voucher.answer(&id(), Token(3), now + VOUCH_AFTER), Some(Token(3)));
         assert_eq!(voucher.answer(&id(), Token(4), now + VOUCH_AFTER), None);
         assert_eq!(voucher.answer(&id(), Token(3), now + VOUCH), None);
-        voucher.take(Token(3), 2, vec![id()], now, now);
+        voucher.take((Token(3), 2), vec![id()], true, now, now);
         assert_eq!(voucher.answer(&id(), Token(3), now + VOUCH_AFTER), None);
     }
 
@@ -222,7 +230,7 @@
                 }
                 let arrived = |due: &Instant| *due <= now;
                 for (_, asked, ack, vouched) in to_leader.extract_if(.., |m| arrived(&m.0)) {
-                    grants.on_beat(&peer, ack, now - start + VOUCH, &vouched, now);
+                    grants.on_beat(&peer, ack, now - start + VOUCH, &vouched, true, now);
                     grants.number += 1;
                     let barred = barred_since.map(|_| id()).into_iter().collect();
                     let Some(MeshMessage::Grant { number, barred, .. }) =
@@ -235,7 +243,7 @@
                     }
                 }
                 for (_, asked, number, barred) in to_follower.extract_if(.., |m| arrived(&m.0)) {
-                    voucher.take(Token(1), number, barred, asked, now);
+                    voucher.take((Token(1), number), barred, step % 2 == 0, asked, now);
                 }
                 if voucher.answer(&id(), Token(1), now).is_some() {
                     last = Some(now);
