--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use crate::constants::*;
 use crate::ids::{Amount, Attempt, MachineId, TaskId, Token};
+use crate::placement::Basket;
 use crate::wire::{Order, Report, TaskState};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -98,6 +99,8 @@
     pub recall_at: Option<Instant>,
     pub entries: BTreeMap<(TaskId, Attempt), Entry>,
     pub idle_since: Option<Instant>,
+    /// The basket it is in, or was in before it became empty.
+    pub basket: Option<Basket>,
     pub images: Vec<Arc<str>>,
     pub failed_jobs: HashSet<crate::ids::JobId>,
     pub direct_in_flight: bool,
@@ -136,6 +139,7 @@
             recall_at: None,
             entries: BTreeMap::new(),
             idle_since: None,
+            basket: None,
             images: Vec::new(),
             failed_jobs: HashSet::new(),
             direct_in_flight: false,
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1033,7 +1033,8 @@
         let quiet = settings.report_every() * 2 + Duration::from_secs(1);
         let mut bins = Vec::new();
         let mut names = Vec::new();
-        for machine in self.machines.values() {
+        let hold = Duration::from_secs_f64(settings.operator.hold_s);
+        for machine in self.machines.values_mut() {
             let flavor = &self.flavors[machine.flavor];
             let age = now.saturating_duration_since(machine.rented);
             let booting = machine.life == Life::Booting
@@ -1056,13 +1057,17 @@
                     }
                 }
             }
+            let held = machine.idle_since.is_some_and(|at| now < at + hold);
+            if basket.is_some() || !held {
+                machine.basket = basket;
+            }
             bins.push(Bin {
                 index: machine.index,
                 zone: machine.zone,
                 flavor: machine.flavor,
                 spot: machine.spot,
                 free: sizes[machine.flavor].minus(&machine.used()),
-                basket,
+                basket: machine.basket,
                 ready: up && machine.confirmed && machine.recorded,
                 images: machine
                     .images
--- a/src/node.rs
+++ b/src/node.rs
@@ -466,7 +466,7 @@
                 && now >= self.work_at
                 && let Some(foreman) = &mut self.foreman
             {
-                self.work_at = now + TICK / 4;
+                self.work_at = now + TICK / 2;
                 foreman.tick(&mut self.state, &mut self.cloud, now);
                 for (machine, address, direct) in foreman.direct.drain(..) {
                     self.out.push(Effect::Direct(machine, address, direct));
