--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -885,7 +885,7 @@
         live.sort_by(|a, b| (a.1.accepted_ms, a.0).cmp(&(b.1.accepted_ms, b.0)));
         let mut claimed = vec![Amount::default(); params.teams.len()];
         let mut hidden = vec![Amount::default(); params.teams.len()];
-        let mut order: Vec<(Urgency, bool, bool, usize)> = Vec::new();
+        let mut order: Vec<(Urgency, bool, bool, usize, usize)> = Vec::new();
         for (at, (id, job)) in live.iter().enumerate() {
             let Some(&team) = self.teams.get(&job.spec.team) else { continue };
             claimed[team] = claimed[team].plus(&job.need.times(job.spec.tasks));
@@ -895,7 +895,10 @@
             // a big one does not starve the small ones behind it.
             let started = job.done_count() + work.placed.len() as u64;
             let turn = placement::copies(&params.teams[team].most(), &job.need);
-            order.push((job.spec.urgency, beyond, started >= turn, at));
+            // What can still start in time goes before what is late for it anyway.
+            let waited = work.known.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            let missed = settings.missed_waits(&job.spec.class, waited);
+            order.push((job.spec.urgency, beyond, started >= turn, missed, at));
             if work.old && !unsure.is_empty() {
                 let unseen = job
                     .spec
@@ -923,7 +926,7 @@
         let mut budget = PLAN_TASKS_MAX;
         let mut wake: Option<Instant> = None;
         let mut updates: Vec<(JobId, u32)> = Vec::new();
-        for (_, _, _, at) in order {
+        for (_, _, _, _, at) in order {
             if budget == 0 {
                 self.plan_wanted = true;
                 break;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -73,10 +73,22 @@
     pub max_sockets: usize,
 }
 
+/// An aim, as the platform restates it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Params {
     pub zones: Vec<String>,
     pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     pub workers: Workers,
     pub state: StateLimits,
     pub cloud: CloudLimits,
@@ -208,6 +220,15 @@
         faults
     }
 
+    /// How many of its class's aims at start a job has missed that has waited this long.
+    pub fn missed_waits(&self, class: &str, waited: Duration) -> usize {
+        let objectives = self.platform.params.objectives.iter();
+        objectives
+            .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(class))
+            .filter(|o| o.within_s.is_some_and(|s| waited.as_secs_f64() > s))
+            .count()
+    }
+
     pub fn worker_lease(&self) -> Duration {
         Duration::from_secs_f64(self.platform.params.workers.lease_s)
     }
