--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1107,7 +1107,9 @@
             && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
         let offers = if may_rent { kinds.iter().map(|(_, o)| o.clone()).collect() } else { vec![] };
         let room: Vec<Amount> = team_room.clone();
-        let urgent: Vec<(usize, Ask)> = asks
+        let seen: Vec<(usize, Vec<u32>)> =
+            bins.iter().map(|bin| (bin.zone, bin.images.clone())).collect();
+        let mut urgent: Vec<(usize, Ask)> = asks
             .iter()
             .take(real_asks)
             .cloned()
@@ -1127,8 +1129,22 @@
             if waiting.is_empty() {
                 continue;
             }
-            let task = TaskId { job: job.clone(), index: waiting.remove(0) };
             let id = id.clone();
+            let (zone, images) = &seen[*bin];
+            if let Some((_, ask)) = urgent.iter_mut().find(|(n, _)| n == ask) {
+                let cold = !images.contains(&ask.image);
+                if cold && self.fetch_is_late(job, &id, cache) {
+                    let room = self.preempt_one(ask, true, cache, now);
+                    if room {
+                        // It goes where its image is, as soon as that room is free.
+                        continue;
+                    }
+                }
+                if ask.zone_room[*zone] != u32::MAX {
+                    ask.zone_room[*zone] = ask.zone_room[*zone].saturating_sub(1);
+                }
+            }
+            let task = TaskId { job: job.clone(), index: waiting.remove(0) };
             self.start(&id, task, cache, now);
         }
         let unplaced = urgent.into_iter().map(|(n, ask)| (sources[n].1.len(), ask)).collect();
@@ -1173,14 +1189,26 @@
             for _ in 0..count {
                 if coming > 0 {
                     coming -= 1;
-                } else if !self.preempt_one(&ask, cache, now) {
+                } else if !self.preempt_one(&ask, false, cache, now) {
                     break;
                 }
             }
         }
     }
 
-    fn preempt_one(&mut self, ask: &Ask, cache: &Cache, now: Instant) -> bool {
+    /// Whether a start on a machine without the image misses its class's tightest aim.
+    fn fetch_is_late(&self, job: &JobId, machine: &MachineId, cache: &Cache) -> bool {
+        let Some(live) = cache.jobs.get(job).and_then(Job::live) else { return false };
+        let Some(machine) = self.machines.get(machine) else { return false };
+        let rate = self.flavors[machine.flavor].fetch_gb_per_s;
+        let Some(within_s) = self.settings.tightest_wait(&live.spec.class) else { return false };
+        live.spec.urgency == Urgency::Production
+            && rate > 0.0
+            && live.spec.image_gb / rate > within_s * FETCH_SHARE
+    }
+
+    /// With `warm`, only on a machine that has the image, and only tasks that need not save.
+    fn preempt_one(&mut self, ask: &Ask, warm: bool, cache: &Cache, now: Instant) -> bool {
         let quiet = self.settings.report_every() * 2;
         let mut best: Option<(bool, f64, MachineId, Vec<TaskAttempt>)> = None;
         for machine in self.machines.values() {
@@ -1194,7 +1222,9 @@
                 && ask.zone_room[machine.zone] > 0
                 && !ask.avoid.contains(&machine.index)
                 && ask.flavors.as_ref().is_none_or(|list| list.contains(&machine.flavor));
-            if !fits {
+            let has = |image: &Arc<str>| self.images.get(image) == Some(&ask.image);
+            let cold = !machine.images.iter().any(has);
+            if !fits || (warm && cold) {
                 continue;
             }
             // What each less urgent task here would lose by being stopped.
@@ -1208,7 +1238,8 @@
                 .filter_map(|((task, attempt), entry)| {
                     let live = cache.jobs.get(&task.job).and_then(Job::live)?;
                     let spec = &live.spec;
-                    if spec.urgency <= ask.urgency || spec.shape != Shape::Array {
+                    let saves = warm && spec.checkpoint_s > 0.0;
+                    if spec.urgency <= ask.urgency || spec.shape != Shape::Array || saves {
                         return None;
                     }
                     let ran = entry
@@ -1233,8 +1264,6 @@
             if !ask.need.fits(&free) || chosen.is_empty() {
                 continue;
             }
-            let has = |image: &Arc<str>| self.images.get(image) == Some(&ask.image);
-            let cold = !machine.images.iter().any(has);
             if best.as_ref().is_none_or(|(c, l, ..)| (cold, loss) < (*c, *l)) {
                 best = Some((cold, loss, machine.id.clone(), chosen));
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -229,6 +229,15 @@
             .count()
     }
 
+    /// The tightest aim at start of a class.
+    pub fn tightest_wait(&self, class: &str) -> Option<f64> {
+        let objectives = self.platform.params.objectives.iter();
+        objectives
+            .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(class))
+            .filter_map(|o| o.within_s)
+            .min_by(f64::total_cmp)
+    }
+
     pub fn worker_lease(&self) -> Duration {
         Duration::from_secs_f64(self.platform.params.workers.lease_s)
     }
