--- a/src/api.rs
+++ b/src/api.rs
@@ -85,10 +85,6 @@
     if spec.zone.as_ref().is_some_and(|zone| !params.zones.contains(zone)) {
         return true;
     }
-    // A job whose tasks must share a zone and may not can't run at all, unless there is one.
-    if spec.spread && spec.tasks > 1 && (spec.one_zone || spec.zone.is_some()) {
-        return spec.shape != Shape::Array;
-    }
     !flavors.iter().any(|flavor| {
         spec.flavors.as_ref().is_none_or(|list| list.contains(&flavor.name))
             && spec.zone.as_ref().is_none_or(|zone| flavor.zones.contains(zone))
@@ -240,6 +236,9 @@
             (_, None) => return Some(self.finish(ticket, Response::empty(404))),
             (_, Some(job)) => {
                 let response = self.view(&id, job, 200);
+                if matches!(job.over(), Some((JobStatus::Cancelled, _))) {
+                    self.cancelled.push((id, waiting.since));
+                }
                 return Some(self.finish(ticket, response));
             }
         };
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -495,6 +495,8 @@
             .machines
             .iter()
             .filter(|(id, _)| !self.machines.contains_key(*id))
+            // One of a kind that is not known is not known to be gone.
+            .filter(|(_, (m, _))| self.kind(&m.flavor, &m.zone, m.spot).is_some())
             .map(|(id, (_, rev))| (id.clone(), *rev))
             .collect();
         for (id, rev) in gone {
--- a/src/state.rs
+++ b/src/state.rs
@@ -315,6 +315,8 @@
     writes: Bucket,
     items: Vec<Item>,
     batch_in_flight: bool,
+    /// So many items go one by one: one of them made the service refuse a whole transaction.
+    alone: usize,
     batch_after: Instant,
     follow_in_flight: bool,
     follow_after: Instant,
@@ -353,6 +355,7 @@
             writes: Bucket::new(write_rps, 1.0, now),
             items: Vec::new(),
             batch_in_flight: false,
+            alone: 0,
             batch_after: now,
             follow_in_flight: false,
             follow_after: now,
@@ -473,7 +476,8 @@
             // JSON spells numbers and names longer than CBOR does, but by less than a half.
             let size = wire::encode(&item.change.writes).len() * 3 / 2 + 100;
             let fits = taken.is_empty()
-                || (ops <= self.txn_ops
+                || (self.alone == 0
+                    && ops <= self.txn_ops
                     && txn.guards.len() + item.change.guards.len() < self.txn_ops * 4
                     && bytes + size < BODY_MAX / 2);
             // Later items wait too once one didn't fit, so that none is overtaken for ever.
@@ -502,6 +506,7 @@
         if taken.is_empty() {
             return;
         }
+        self.alone = self.alone.saturating_sub(1);
         self.writes.take(txn.writes.len() as f64, now);
         self.batch_in_flight = true;
         self.call(StateCall::Commit(txn.clone()), Doing::Batch { items: taken, txn }, now);
@@ -591,10 +596,17 @@
                             }
                         }
                     }
+                    StateReply::NoLease if items.len() > 1 => {
+                        // Malformed as a whole: whichever item it is must not hold up the others.
+                        self.alone = items.len();
+                        for item in items {
+                            self.push(item);
+                        }
+                    }
                     other => {
                         self.batch_after = now + self.pause();
                         let outcome = match other {
-                            StateReply::Refused => Outcome::Refused,
+                            StateReply::Refused | StateReply::NoLease => Outcome::Refused,
                             _ => Outcome::Unknown,
                         };
                         for item in items {
@@ -750,6 +762,26 @@
         assert_eq!(outcomes(&mut core).len(), 2);
     }
 
+    #[test]
+    fn an_item_that_the_service_calls_malformed_holds_up_no_other() {
+        let now = Instant::now();
+        let mut core = core(now);
+        for ticket in 0..3 {
+            core.push(item(ticket, &format!("t/x/{ticket}")));
+        }
+        let (id, _) = commit(&mut core, now);
+        core.on_reply(id, StateReply::NoLease, now);
+        let (id, txn) = commit(&mut core, now);
+        assert_eq!(txn.writes.len(), 1);
+        core.on_reply(id, StateReply::NoLease, now);
+        assert_eq!(outcomes(&mut core), [(Origin::User(0), Outcome::Refused)]);
+        let later = now + STATE_RETRY * 2;
+        let (id, txn) = commit(&mut core, later);
+        assert_eq!(txn.writes.len(), 1);
+        core.on_reply(id, StateReply::Committed(Revision(9)), later);
+        assert_eq!(outcomes(&mut core), [(Origin::User(1), Outcome::Committed)]);
+    }
+
     #[test]
     fn a_transaction_keeps_its_limits_and_never_writes_a_key_twice() {
         let now = Instant::now();
