--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -26,6 +26,7 @@
 /// Why a task was stopped, where the reason is asked for later.
 const PREEMPTED: &str = "preempted";
 const MOVED: &str = "moved";
+const OVER: &str = "its job is over";
 
 type TaskAttempt = (TaskId, Attempt);
 
@@ -277,7 +278,7 @@
         (entry.team, entry.need, entry.image) = (team, need, image);
         let stop = |reason| Some(Stop { grace_s: 0.0, reason });
         let Some(work) = work else {
-            entry.stop = stop("its job is over");
+            entry.stop = stop(OVER);
             return;
         };
         match work.placed.get(&task.index) {
@@ -450,7 +451,7 @@
                 if entry.state == TaskState::Exited {
                     entry.settled = true;
                 } else if entry.stop.as_ref().is_none_or(|stop| stop.grace_s > 0.0) {
-                    entry.stop = Some(Stop { grace_s: 0.0, reason: "its job is over" });
+                    entry.stop = Some(Stop { grace_s: 0.0, reason: OVER });
                     self.stops += 1;
                 }
             }
@@ -638,7 +639,16 @@
         for machine in self.machines.values_mut() {
             let told = self.grants.told(&machine.id);
             let vouched = told.is_some_and(|at| now.saturating_duration_since(at) < quiet);
-            if machine.silent_for(now) > quiet && !cut_off[machine.zone] && !vouched {
+            // A start of a cancelled job may be held back on its way there: as long as others keep
+            // the session alive it could still be executed, however late. Ending the session in
+            // time is the only way to stop it.
+            let doomed = machine.entries.values().any(|entry| {
+                entry.flying > 0
+                    && !entry.seen
+                    && entry.stop.as_ref().is_some_and(|stop| stop.reason == OVER)
+            });
+            let dead = machine.silent_for(now) > quiet && !cut_off[machine.zone] && !vouched;
+            if dead || (doomed && machine.silent_for(now) > self.settings.report_every()) {
                 machine.barred_since.get_or_insert(self.grants.number);
                 barred.push(machine.id.clone());
             } else {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -1062,6 +1062,32 @@
     assert_eq!((world.running(0), lost.count()), (4, 0));
 }
 
+/// A start that the network holds back is delivered when the cut ends, long after its job was
+/// cancelled; the session it was meant for must have ended by then.
+#[test]
+fn a_start_held_back_beyond_its_cancellation_is_not_executed() {
+    let mut held = 0;
+    for seed in 80..92 {
+        let mut world = World::new(seed);
+        world.submit_at(3000, 0, true, None);
+        // Jobs keep coming, so that some start is on its way when the cut begins.
+        for n in 1..12 {
+            world.submit_at(24_000 + n * 700, n, n % 2 == 0, Some(30_500 + n * 100));
+        }
+        world.at(30_000, Due::Fault(Fault::CutZones(true)));
+        world.at(90_000, Due::Fault(Fault::CutZones(false)));
+        world.run(89_000);
+        let start = |due: &&Due| {
+            matches!(due, Due::Direct(_, _, _, Direct::Do(orders))
+            if orders.orders.iter().any(|order| matches!(order, Order::Start { .. })))
+        };
+        held += world.held.iter().filter(start).count();
+        world.run(110_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+    }
+    assert!(held > 0, "no start was held back");
+}
+
 #[test]
 fn troubles_come_together() {
     for seed in 60..72 {
