A lone controller leads on in an outage; reports of deleted machines adopt nothing

Cause 1: an election rule asked a lone controller for promises nobody can give. Cause 2: with five controllers, a report held back since before its machine's deletion brought the machine back and logged its tasks as found twice.

--- a/src/election.rs
+++ b/src/election.rs
@@ -88,10 +88,10 @@
         self.token().is_some() && now < self.valid_until
     }
 
-    /// Whether every other controller has promised not to campaign.
+    /// Whether every other controller has promised not to campaign. A controller that is alone
+    /// needs no promise.
     fn by_pledge(&self, now: Instant) -> bool {
         self.token().is_some()
-            && self.peers > 0
             && self.pledges.len() == self.peers
             && self.pledges.values().all(|until| now < *until)
     }
@@ -330,6 +330,20 @@
         assert!(restarted.poll(&cache, false, now + PLEDGE - TICK_MOST).is_empty());
     }
 
+    #[test]
+    fn a_controller_that_is_alone_leads_on_through_an_outage() {
+        let now = Instant::now();
+        let cache = loaded();
+        let mut election = Election::new(NodeName::new("a"), 0, 0, now);
+        let call = election.poll(&cache, false, now).remove(0);
+        let reply = StateReply::Lease(LeaseId(7));
+        let (mut calls, _) = election.on_reply(&call, now, &reply, &cache, now);
+        assert!(!election.may_act(now));
+        let reply = StateReply::Committed(Revision(3));
+        election.on_reply(&calls.remove(0), now, &reply, &cache, now);
+        assert!(election.may_act(now + LEADER_LEASE * 5));
+    }
+
     #[test]
     fn a_campaign_without_a_verdict_is_settled_by_ending_its_lease() {
         let now = Instant::now();
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -178,6 +178,10 @@
     /// A report on `/hello`; the answer renews the worker's lease. None: a later leader exists.
     pub fn on_report(&mut self, report: &Report, cache: &Cache, now: Instant) -> Option<Orders> {
         self.last_report = now;
+        if self.buried.contains(&report.machine) {
+            // Held back by the network since before the machine was deleted.
+            return Some(self.answer(Vec::new()));
+        }
         if !self.machines.contains_key(&report.machine) {
             let Some(kind) = self.kind(&report.flavor, &report.zone, report.spot) else {
                 return Some(self.answer(Vec::new()));
