--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Job records: how they are kept at the state service and how they change.
 
 use crate::ids::{Amount, JobId, Revision};
-use crate::wire::{Data, Guard, JobSpec, JobStatus, Shape, Write};
+use crate::wire::{self, Data, Guard, JobSpec, JobStatus, Shape, Write};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -28,12 +28,10 @@
         self.0.iter().map(|byte| u64::from(byte.count_ones())).sum()
     }
     fn hex(&self) -> String {
-        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+        wire::hex(&self.0)
     }
     fn from_hex(text: &str) -> Option<Bits> {
-        let digits: Option<Vec<u8>> =
-            text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
-        Some(Bits(digits?.chunks(2).map(|pair| pair.iter().fold(0, |a, d| a << 4 | d)).collect()))
+        wire::unhex(text).map(Bits)
     }
 }
 
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -5,6 +5,7 @@
 
 use crate::constants::*;
 use crate::ids::{JobId, MachineId, NodeName, Token};
+use crate::wire;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,15 +53,11 @@
 
 /// A message as text, for the way over the store.
 pub fn to_text(message: &MeshMessage) -> Option<String> {
-    let bytes = postcard::to_stdvec(message).ok()?;
-    Some(bytes.iter().map(|byte| format!("{byte:02x}")).collect())
+    Some(wire::hex(&postcard::to_stdvec(message).ok()?))
 }
 
 pub fn from_text(text: &str) -> Option<MeshMessage> {
-    let digits: Option<Vec<u8>> = text.chars().map(|c| Some(c.to_digit(16)? as u8)).collect();
-    let bytes: Vec<u8> =
-        digits?.chunks(2).map(|pair| pair.iter().fold(0, |a, d| a << 4 | d)).collect();
-    postcard::from_bytes(&bytes).ok()
+    postcard::from_bytes(&wire::unhex(text)?).ok()
 }
 
 /// Reads frames from whoever dials in.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -23,6 +23,16 @@
     out
 }
 
+/// Bytes as text, for values of the state service, which hold nothing binary.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+pub fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> = text.chars().map(|c| Some(c.to_digit(16)? as u8)).collect();
+    Some(digits?.chunks(2).map(|pair| pair.iter().fold(0, |a, d| a << 4 | d)).collect())
+}
+
 impl Serialize for TaskId {
     fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
         to.collect_str(self)
