Rentals: used-up kinds are probed in small numbers, waiting wishes share a request

Spot machines that there were none of any more took up to 150 bookings in each plan, and every wish was a call of its own out of three a second. Ruled out: the pause of a plan, boot times (machines booted in their time). Now a kind that refused is asked for two, then eight, then 32 once its rest is over; wishes of a kind that wait for a call go in one request, the largest first; a cloud that is out as a whole says nothing about what it has.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -5,6 +5,7 @@
 use crate::ids::{MachineId, Token};
 use crate::state::Bucket;
 use crate::wire::{self, Flavor, Flavors, Hire, Listed, MachineNames, MachinePage};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use tokio::time::Instant;
 
@@ -56,6 +57,8 @@
     hire: Hire,
     next: Instant,
     in_flight: bool,
+    /// A request keeps its content once it may have been executed.
+    sent: bool,
 }
 
 #[derive(Default)]
@@ -115,6 +118,12 @@
 
     pub fn hire(&mut self, kind: Kind, flavor: &str, zone: &str, count: u32, now: Instant) {
         let mut left = count;
+        // Calls are few: what is wanted of a kind while its request waits goes along with it.
+        for open in self.hires.values_mut().filter(|open| open.kind == kind && !open.sent) {
+            let more = left.min(HIRE_MAX - open.hire.count);
+            open.hire.count += more;
+            left -= more;
+        }
         while left > 0 {
             let count = left.min(HIRE_MAX);
             left -= count;
@@ -126,7 +135,8 @@
                 spot: kind.spot,
                 count,
             };
-            self.hires.insert(self.counter, Open { kind, hire, next: now, in_flight: false });
+            let open = Open { kind, hire, next: now, in_flight: false, sent: false };
+            self.hires.insert(self.counter, open);
         }
     }
 
@@ -165,18 +175,20 @@
                     self.send(CloudCall::Delete(due), None, now);
                 }
             }
-            let due: Vec<u64> = self
+            let mut due: Vec<(u32, u64)> = self
                 .hires
                 .iter()
                 .filter(|(_, open)| !open.in_flight && open.next <= now)
-                .map(|(n, _)| *n)
+                .map(|(n, open)| (open.hire.count, *n))
                 .collect();
-            for n in due {
+            due.sort_by_key(|(count, n)| (Reverse(*count), *n));
+            for (_, n) in due {
                 if !self.bucket.has(1.0, now) {
                     break;
                 }
                 if let Some(open) = self.hires.get_mut(&n) {
                     open.in_flight = true;
+                    open.sent = true;
                     let call = CloudCall::Hire(open.kind, open.hire.clone());
                     self.send(call, Some(n), now);
                 }
@@ -233,8 +245,11 @@
                     if short {
                         events.push(CloudEvent::Refused(kind));
                     }
+                } else if status == 503 && !no_capacity(&body) {
+                    // The cloud as a whole is out; that tells nothing of what it has.
+                    self.hires.remove(&n);
+                    self.rest_until = now + STATE_RETRY * 4;
                 } else if status == 503 || status == 400 {
-                    // "no capacity" and "trouble" are both answered by looking elsewhere.
                     self.hires.remove(&n);
                     events.push(CloudEvent::Refused(kind));
                 } else if let Some(open) = self.hires.get_mut(&n) {
@@ -281,12 +296,22 @@
     }
 }
 
+/// Whether a 503 is about the kind asked for.
+fn no_capacity(body: &[u8]) -> bool {
+    wire::decode::<wire::CloudError>(body).is_ok_and(|body| body.error == NO_CAPACITY)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
     const KIND: Kind = Kind { flavor: 0, zone: 0, spot: true };
 
+    fn refusal(error: &str) -> Result<Response, CallError> {
+        let body = wire::encode(&wire::CloudError { error: error.into() });
+        Ok(Response::with(503, body))
+    }
+
     fn hire_sent(core: &mut CloudCore, now: Instant) -> (u64, String) {
         core.poll(true, now);
         let found = core.out.drain(..).find_map(|(id, call)| match call {
@@ -308,13 +333,29 @@
         let later = now + STATE_RETRY * 3;
         let (id, again) = hire_sent(&mut core, later);
         assert_eq!(name, again);
-        let refused = core.on_reply(id, Ok(Response::empty(503)), later);
+        let refused = core.on_reply(id, refusal(NO_CAPACITY), later);
         assert!(matches!(refused[..], [CloudEvent::Refused(KIND)]));
         core.lead(Token(4), later);
         core.hire(KIND, "f", "z", 1, later);
         assert_ne!(hire_sent(&mut core, later).1, name);
     }
 
+    #[test]
+    fn what_waits_for_a_call_goes_as_one_request_and_an_outage_is_no_refusal() {
+        let now = Instant::now();
+        let mut core = CloudCore::new(100.0, now);
+        core.lead(Token(3), now);
+        core.hire(KIND, "f", "z", 2, now);
+        core.hire(KIND, "f", "z", HIRE_MAX, now);
+        assert_eq!(core.pending(), [(KIND, HIRE_MAX), (KIND, 2)]);
+        let (id, _) = hire_sent(&mut core, now);
+        // What was sent keeps its content.
+        core.hire(KIND, "f", "z", 1, now);
+        assert_eq!(core.pending().len(), 3);
+        assert!(core.on_reply(id, refusal("trouble"), now).is_empty());
+        assert_eq!(core.pending(), [(KIND, 2), (KIND, 1)]);
+    }
+
     #[test]
     fn a_deletion_is_repeated_until_it_is_answered() {
         let now = Instant::now();
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -93,8 +93,15 @@
 pub const HIRE_MAX: u32 = 50;
 /// Count. PROTOCOL's cap on names in one deletion.
 pub const DELETE_MAX: usize = 100;
+/// What the cloud's 503 says when a type, zone and kind is used up; any other is an outage.
+pub const NO_CAPACITY: &str = "no capacity";
 /// How long a type, zone and kind that refused a rental is left alone.
 pub const CAPACITY_REST: Duration = Duration::from_secs(6);
+/// Count. Machines asked for, at first, of a kind that refused: what is booked on machines that
+/// there are not waits for nothing, while other kinds have some.
+pub const CAPACITY_PROBE: u32 = 2;
+/// How much more is asked for with each request of such a kind that is filled.
+pub const CAPACITY_GROWTH: u32 = 4;
 /// A machine that is not up after this many times its nominal boot time is given back.
 pub const BOOT_PATIENCE: f64 = 3.0;
 /// Added to the above.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -66,7 +66,8 @@
     pub machines: BTreeMap<MachineId, Machine>,
     work: HashMap<JobId, Work>,
     images: HashMap<Arc<str>, u32>,
-    refused: HashMap<Kind, Instant>,
+    /// Kinds that refused: until when each is left alone, and how many to ask for then.
+    scarce: HashMap<Kind, (Instant, u32)>,
     /// Surely gone: a lagging list may still show them.
     buried: HashSet<MachineId>,
     listed_once: bool,
@@ -107,7 +108,7 @@
             machines: BTreeMap::new(),
             work: HashMap::new(),
             images: HashMap::new(),
-            refused: HashMap::new(),
+            scarce: HashMap::new(),
             buried: HashSet::new(),
             listed_once: false,
             plan_at: now,
@@ -543,6 +544,12 @@
                 }
             }
             CloudEvent::Hired(kind, machines) => {
+                if let Some((_, most)) = self.scarce.get_mut(&kind) {
+                    *most *= CAPACITY_GROWTH;
+                    if *most > HIRE_MAX {
+                        self.scarce.remove(&kind);
+                    }
+                }
                 for id in &machines {
                     self.add_machine(id, kind, now);
                 }
@@ -552,7 +559,7 @@
             CloudEvent::Refused(kind) => {
                 let zone = &self.settings.platform.params.zones[kind.zone];
                 tracing::info!(%zone, spot = kind.spot, "rental refused");
-                self.refused.insert(kind, now + CAPACITY_REST);
+                self.scarce.insert(kind, (now + CAPACITY_REST, CAPACITY_PROBE));
             }
             CloudEvent::Deleted(machines) => {
                 for id in machines {
@@ -1100,8 +1107,9 @@
             });
             names.push(Some(machine.id.clone()));
         }
-        for (kind, count) in cloud.pending() {
-            for _ in 0..count {
+        let pending = cloud.pending();
+        for (kind, count) in &pending {
+            for _ in 0..*count {
                 bins.push(Bin {
                     index: u64::MAX,
                     zone: kind.zone,
@@ -1121,7 +1129,7 @@
         }
         let total = bins.len();
         let heavy_cap = ((total as f64 * settings.operator.heavy_cap) as usize).max(1);
-        let mut kinds = self.offers(&sizes, now);
+        let mut kinds = self.offers(&sizes, &pending, now);
         kinds.retain(|(kind, _)| !silent[kind.zone]);
         let may_rent = now >= self.since + HIRE_SETTLE
             && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
@@ -1420,13 +1428,20 @@
         }
     }
 
-    fn offers(&self, sizes: &[Amount], now: Instant) -> Vec<(Kind, Offer)> {
+    fn offers(
+        &self,
+        sizes: &[Amount],
+        pending: &[(Kind, u32)],
+        now: Instant,
+    ) -> Vec<(Kind, Offer)> {
         let mut offers = Vec::new();
         for (flavor, info) in self.flavors.iter().enumerate() {
             for zone in info.zones.iter().filter_map(|name| self.zone(name)) {
                 for spot in [true, false] {
                     let kind = Kind { flavor, zone, spot };
-                    if self.refused.get(&kind).is_some_and(|until| *until > now) {
+                    let scarce = self.scarce.get(&kind);
+                    let asked = pending.iter().any(|(other, _)| *other == kind);
+                    if scarce.is_some_and(|(until, _)| *until > now || asked) {
                         continue;
                     }
                     let held = self.machines.values().filter(|m| m.zone == zone && m.spot == spot);
@@ -1436,7 +1451,7 @@
                         spot,
                         price: if spot { info.spot_price } else { info.price },
                         size: sizes[flavor],
-                        most: HIRE_MAX,
+                        most: scarce.map_or(HIRE_MAX, |(_, most)| *most),
                         held: held.count() as u32,
                     };
                     offers.push((kind, offer));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -279,6 +279,12 @@
     pub count: u32,
 }
 
+/// The body of a refusal by the cloud.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CloudError {
+    pub error: String,
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct MachineNames {
     #[serde(rename = "spindles")]
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use troutspindle::cloud::CloudCall;
+use troutspindle::constants::NO_CAPACITY;
 use troutspindle::foreman::Direct;
 use troutspindle::http::{CallError, Method, Request, Response};
 use troutspindle::ids::{Attempt, JobId, LeaseId, MachineId, NodeName, Revision, TaskId, Token};
@@ -517,7 +518,8 @@
                 let held = self.workers.values().filter(alike).count();
                 let room = 6usize.saturating_sub(held).min(hire.count as usize);
                 if known.is_none() && room == 0 {
-                    Response::empty(503)
+                    let error = NO_CAPACITY.into();
+                    Response::with(503, wire::encode(&wire::CloudError { error }))
                 } else {
                     let machines = known.unwrap_or_else(|| {
                         (0..room).map(|_| self.rent(kind.zone, kind.spot)).collect()
