Which job a team serves next: what can still start in time, then the small ones

The users count jobs, each by the share of its tasks that started in time, so a large array costs as much room as several small ones and counts as one. Among teams the order stays urgency, guarantee, turn, missed aims, age; within a team and urgency it is missed aims, turn, size, and age among those that missed every aim. Pure, with a test.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -9,7 +9,7 @@
 use crate::ids::{Amount, Attempt, JobId, MachineId, NodeName, Revision, TaskId, Token};
 use crate::jobs::{self, Job, JobBody, LiveJob};
 use crate::mesh::MeshMessage;
-use crate::placement::{self, Ask, Basket, Bin, Input, Offer};
+use crate::placement::{self, Ask, Basket, Bin, Claim, Input, Offer};
 use crate::settings::Settings;
 use crate::state::{
     Cache, Item, LEADER_KEY, MACHINE_PREFIX, MachineRecord, Origin, Outcome, Rank, StateCore,
@@ -927,20 +927,25 @@
         live.sort_by(|a, b| (a.1.accepted_ms, a.0).cmp(&(b.1.accepted_ms, b.0)));
         let mut claimed = vec![Amount::default(); params.teams.len()];
         let mut hidden = vec![Amount::default(); params.teams.len()];
-        let mut order: Vec<(Urgency, bool, bool, usize, usize)> = Vec::new();
+        let mut order: Vec<Claim> = Vec::new();
         for (at, (id, job)) in live.iter().enumerate() {
             let Some(&team) = self.teams.get(&job.spec.team) else { continue };
             claimed[team] = claimed[team].plus(&job.need.times(job.spec.tasks));
             let beyond = !claimed[team].fits(&params.teams[team].guarantee());
             let work = &self.work[*id];
-            // A job that has started as many tasks as its team may run at once has had its turn:
-            // a big one does not starve the small ones behind it.
             let started = job.done_count() + work.placed.len() as u64;
             let turn = placement::copies(&params.teams[team].most(), &job.need);
-            // What can still start in time goes before what is late for it anyway.
             let waited = work.known.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
             let missed = settings.missed_waits(&job.spec.class, waited);
-            order.push((job.spec.urgency, beyond, started >= turn, missed, at));
+            order.push(Claim {
+                urgency: job.spec.urgency,
+                beyond,
+                had_turn: started >= turn,
+                missed,
+                age: at,
+                team,
+                tasks: job.spec.tasks,
+            });
             if work.old && !unsure.is_empty() {
                 let unseen = job
                     .spec
@@ -950,7 +955,8 @@
                 hidden[team] = hidden[team].plus(&job.need.times(unseen));
             }
         }
-        order.sort();
+        let aims = |claim: &Claim| settings.waits(&live[claim.age].1.spec.class).count();
+        placement::order_of_service(&mut order, aims);
 
         let used = self.team_use();
         let mut team_room: Vec<Amount> = params
@@ -968,7 +974,7 @@
         let mut budget = PLAN_TASKS_MAX;
         let mut wake: Option<Instant> = None;
         let mut updates: Vec<(JobId, u32)> = Vec::new();
-        for (_, _, _, _, at) in order {
+        for Claim { age: at, .. } in order {
             if budget == 0 {
                 self.plan_wanted = true;
                 break;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::Amount;
 use crate::wire::Urgency;
+use std::collections::BTreeMap;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Basket {
@@ -30,6 +31,45 @@
     pub images: Vec<u32>,
 }
 
+/// What decides when a job is served; the fields in order of weight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Claim {
+    pub urgency: Urgency,
+    /// It does not fit into its team's guarantee together with the team's earlier jobs.
+    pub beyond: bool,
+    /// It has started as many tasks as its team may run at once: a big one does not starve the
+    /// small ones behind it.
+    pub had_turn: bool,
+    /// Aims at start that it has missed: what can still start in time goes first.
+    pub missed: usize,
+    /// Its number in order of age.
+    pub age: usize,
+    pub team: usize,
+    pub tasks: u64,
+}
+
+/// The order of service. Among teams it is urgency, guarantee, turn, missed aims, age; which of
+/// its jobs a team serves when it is its turn is by missed aims and then by size, since the users
+/// count jobs: many small ones start in the time that one large one takes. Those that have missed
+/// every aim go by age, so that nobody waits for ever behind smaller ones just as late.
+pub fn order_of_service(claims: &mut [Claim], aims: impl Fn(&Claim) -> usize) {
+    claims.sort();
+    let mut turns: BTreeMap<(Urgency, usize), Vec<usize>> = BTreeMap::new();
+    for (place, claim) in claims.iter().enumerate() {
+        turns.entry((claim.urgency, claim.team)).or_default().push(place);
+    }
+    for places in turns.values() {
+        let mut jobs: Vec<Claim> = places.iter().map(|place| claims[*place]).collect();
+        jobs.sort_by_key(|job| {
+            let size = if job.missed >= aims(job).max(1) { 0 } else { job.tasks };
+            (job.missed, job.had_turn, size, job.age)
+        });
+        for (place, job) in places.iter().zip(jobs) {
+            claims[*place] = job;
+        }
+    }
+}
+
 /// Waiting tasks of one job; they are all alike.
 #[derive(Debug, Clone)]
 pub struct Ask {
@@ -394,6 +434,41 @@
         places
     }
 
+    #[test]
+    fn a_team_s_small_jobs_go_first_and_no_other_team_waits_for_it() {
+        let mut random = StdRng::seed_from_u64(5);
+        for _ in 0..200 {
+            let count = random.random_range(0..20);
+            let mut claims: Vec<Claim> = (0..count)
+                .map(|age| Claim {
+                    urgency: if random.random() { Urgency::High } else { Urgency::Production },
+                    beyond: random.random(),
+                    had_turn: random.random(),
+                    missed: random.random_range(0..3),
+                    age,
+                    team: random.random_range(0..3),
+                    tasks: random.random_range(1..50),
+                })
+                .collect();
+            let mut plain = claims.clone();
+            plain.sort();
+            order_of_service(&mut claims, |_| 2);
+            let turn = |claim: &Claim| (claim.urgency, claim.team);
+            assert!(claims.iter().map(turn).eq(plain.iter().map(turn)));
+            for (at, a) in claims.iter().enumerate() {
+                for b in claims[at + 1..].iter().filter(|b| turn(b) == turn(a)) {
+                    assert!(a.missed <= b.missed);
+                    if a.missed == b.missed && a.had_turn == b.had_turn {
+                        let late = a.missed >= 2;
+                        assert!(if late { a.age < b.age } else { a.tasks <= b.tasks });
+                    }
+                }
+            }
+            claims.sort();
+            assert_eq!(claims, plain);
+        }
+    }
+
     fn random_input(random: &mut StdRng) -> Input {
         let size = Amount::room(16.0, 0.0, 64.0);
         let bins = (0..random.random_range(0..12u64))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -221,7 +221,7 @@
     }
 
     /// The aims at start of a class, in seconds.
-    fn waits(&self, class: &str) -> impl Iterator<Item = f64> {
+    pub fn waits(&self, class: &str) -> impl Iterator<Item = f64> {
         self.platform
             .params
             .objectives
