--- a/src/constants.rs
+++ b/src/constants.rs
@@ -164,6 +164,9 @@
 pub const EMPTY_BELOW: f64 = 0.55;
 /// Pause between messages that go by way of the store to a controller out of reach.
 pub const RELAY_EVERY: Duration = Duration::from_secs(3);
+/// Seconds. Work that less urgent tasks may have to repeat so that an urgent one starts where its
+/// image is: a fetch takes a few seconds, and an array that repeats minutes of work ends late.
+pub const IMAGE_WORTH_S: f64 = 30.0;
 /// A fetch that takes more than this share of the tightest aim at start is worth stopping less
 /// urgent work for, where a machine has the image.
 pub const FETCH_SHARE: f64 = 0.8;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1283,7 +1283,7 @@
     /// With `warm`, only on a machine that has the image, and only tasks that need not save.
     fn preempt_one(&mut self, ask: &Ask, warm: bool, cache: &Cache, now: Instant) -> bool {
         let quiet = self.settings.report_every() * 2;
-        let mut best: Option<(bool, f64, MachineId, Vec<TaskAttempt>)> = None;
+        let mut best: Option<(f64, f64, MachineId, Vec<TaskAttempt>)> = None;
         for machine in self.machines.values() {
             let fits = machine.life == Life::Up
                 && machine.confirmed
@@ -1335,8 +1335,13 @@
             if !ask.need.fits(&free) || chosen.is_empty() {
                 continue;
             }
-            if best.as_ref().is_none_or(|(c, l, ..)| (cold, loss) < (*c, *l)) {
-                best = Some((cold, loss, machine.id.clone(), chosen));
+            // An image at hand is worth some repeated work, but not any amount of it.
+            let price = if cold { loss + IMAGE_WORTH_S } else { loss };
+            if warm && loss > IMAGE_WORTH_S {
+                continue;
+            }
+            if best.as_ref().is_none_or(|(least, ..)| price < *least) {
+                best = Some((price, loss, machine.id.clone(), chosen));
             }
         }
         let Some((_, loss, id, chosen)) = best else { return false };
@@ -1725,6 +1730,40 @@
         orders.iter().filter_map(show).collect()
     }
 
+    /// An image at hand is no reason to throw minutes of work away: an array once lost 242 s.
+    #[test]
+    fn what_loses_little_is_stopped_even_where_the_image_is_missing() {
+        let mut bench = Bench::new();
+        let fill = |bench: &mut Bench, machine: &str, id: &str, image: &str| {
+            bench.report(machine, vec![]);
+            bench.job(id, Shape::Array, 4);
+            bench.pass(PLAN_EVERY * 5);
+            let orders = bench.report(machine, vec![]);
+            let shown = shown(&orders, TaskState::Running);
+            assert_eq!(shown.len(), 4);
+            bench.report(machine, shown.clone());
+            let known = bench.foreman.machines.get_mut(&MachineId::new(machine)).unwrap();
+            known.images = vec![Arc::from(image)];
+            known.image_ids.clear();
+            shown
+        };
+        let first = fill(&mut bench, "i-1", "wk-1", "i");
+        let long = Duration::from_secs_f64(IMAGE_WORTH_S * 2.0);
+        for entry in bench.foreman.machines.values_mut().flat_map(|m| m.entries.values_mut()) {
+            entry.running_since = bench.now.checked_sub(long);
+        }
+        fill(&mut bench, "i-2", "wk-2", "other");
+        bench.report("i-1", first);
+        let id = bench.job("wk-3", Shape::Service, 1);
+        let Some(job) = bench.state.cache.jobs.all.get_mut(&id) else { panic!() };
+        let JobBody::Live(live) = &mut job.body else { panic!() };
+        Arc::make_mut(&mut live.spec).urgency = Urgency::Production;
+        bench.pass(PLAN_EVERY * 5);
+        let stopped = |machine: &Machine| machine.entries.values().any(|e| e.stop.is_some());
+        let stopped: Vec<_> = bench.foreman.machines.values().map(stopped).collect();
+        assert_eq!(stopped, [false, true]);
+    }
+
     /// The end of a task of a job that is known to be cancelled only by word of mouth must not
     /// make the job new work: its other tasks, silent behind a cut, would be started twice.
     #[test]
@@ -1732,7 +1771,7 @@
         let mut bench = Bench::new();
         let id = bench.job("wk-1", Shape::Service, 4);
         bench.report("i-1", vec![]);
-        bench.pass(PLAN_EVERY * 2);
+        bench.pass(PLAN_EVERY * 5);
         let orders = bench.report("i-1", vec![]);
         assert_eq!(shown(&orders, TaskState::Running).len(), 4);
         bench.report("i-1", shown(&orders, TaskState::Running));
