Consolidation in proportion: a round of moves empties machines for up to 2% of all replicas

Ruled out: booting (10% of the money, but bought once), idle machines (2%). A small fleet still moves one machine a round.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -155,8 +155,11 @@
 /// which a cancelled task must be gone.
 pub const VOUCH_MARGIN: Duration = Duration::from_millis(1500);
 
-/// Pause between two moves that empty a machine: one at a time, so that each shows its effect.
+/// Pause between two rounds of moves that empty machines, so that each shows its effect.
 pub const CONSOLIDATE_EVERY: Duration = Duration::from_secs(10);
+/// Share of all running replicas that one round may move; a round that moves less empties one
+/// machine all the same. A move takes a replica a fraction of a second.
+pub const MOVE_SHARE: f64 = 0.02;
 /// A replica is moved only after it ran this long: users count a start that is undone within
 /// half a minute as none.
 pub const MOVE_AFTER: Duration = Duration::from_secs(45);
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1371,13 +1371,39 @@
             .collect();
         let used = |i: usize| self.size(bins[i].flavor).cpu - bins[i].free.cpu;
         order.sort_by_key(|&i| (used(i), Reverse(bins[i].index)));
-        for &source in &order {
+        let replicas = self.work.iter().filter_map(|(id, work)| {
+            let service = cache.jobs.get(id)?.live()?.spec.shape == Shape::Service;
+            service.then_some(work.placed.len())
+        });
+        // How many moves are small beside what runs depends on how much does.
+        let mut budget = replicas.sum::<usize>() as f64 * MOVE_SHARE;
+        let mut bins = bins.to_vec();
+        let mut first = true;
+        let mut receiving = HashSet::new();
+        for source in order {
+            if receiving.contains(&source) {
+                continue;
+            }
             let size = self.size(bins[source].flavor);
-            if used(source) as f64 > size.cpu as f64 * EMPTY_BELOW {
+            let used = size.cpu - bins[source].free.cpu;
+            if used as f64 > size.cpu as f64 * EMPTY_BELOW {
                 return;
             }
             let Some(id) = &names[source] else { continue };
-            if self.can_empty(id, source, bins, names, cache, now) {
+            let Some(machine) = self.machines.get(id) else { continue };
+            let moved = machine.entries.values().filter(|e| e.state == TaskState::Running).count();
+            if !first && moved as f64 > budget {
+                return;
+            }
+            if let Some(targets) = self.can_empty(id, source, &bins, names, cache, now) {
+                first = false;
+                budget -= moved as f64;
+                for (target, need) in targets {
+                    bins[target].free = bins[target].free.minus(&need);
+                    receiving.insert(target);
+                }
+                // Nothing moves onto what was just emptied.
+                bins[source].ready = false;
                 tracing::info!(machine = %id, "emptied onto others");
                 if let Some(machine) = self.machines.get_mut(id) {
                     for entry in machine.entries.values_mut() {
@@ -1388,11 +1414,11 @@
                         }
                     }
                 }
-                return;
             }
         }
     }
 
+    /// Where each replica of the machine would go, if all of them find room.
     fn can_empty(
         &self,
         id: &MachineId,
@@ -1401,8 +1427,9 @@
         names: &[Option<MachineId>],
         cache: &Cache,
         now: Instant,
-    ) -> bool {
-        let Some(machine) = self.machines.get(id) else { return false };
+    ) -> Option<Vec<(usize, Amount)>> {
+        let machine = self.machines.get(id)?;
+        let mut targets = Vec::new();
         let usable = |i: &usize| {
             let bin = &bins[*i];
             *i != source && bin.ready && !bin.spot && bin.basket == bins[source].basket
@@ -1418,20 +1445,20 @@
         let size = self.size(machine.flavor).cpu;
         let warm = size as f64 * self.settings.operator.warm_per_zone;
         if (spare.saturating_sub(machine.used().cpu) as f64) < warm {
-            return false;
+            return None;
         }
         let mut moved: HashMap<(JobId, usize), u32> = HashMap::new();
         for ((task, _), entry) in &machine.entries {
             if entry.state == TaskState::Exited {
                 continue;
             }
-            let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { return false };
+            let live = cache.jobs.get(&task.job).and_then(Job::live)?;
             let ran = entry.running_since.is_some_and(|at| now >= at + MOVE_AFTER);
             let movable = live.spec.shape == Shape::Service && live.spec.flavors.is_none();
             if !ran || !movable || entry.stop.is_some() || entry.state != TaskState::Running {
-                return false;
+                return None;
             }
-            let Some(work) = self.work.get(&task.job) else { return false };
+            let work = self.work.get(&task.job)?;
             let half = (live.spec.tasks as u32).div_ceil(2);
             let target = free.values_mut().find(|(i, room)| {
                 let zone = bins[*i].zone;
@@ -1447,11 +1474,12 @@
                 let warm = names[*i].as_ref().and_then(|m| self.machines.get(m)).is_some_and(image);
                 warm && here && same && entry.need.fits(room) && (!live.spec.spread || there < half)
             });
-            let Some((i, room)) = target else { return false };
+            let (i, room) = target?;
             *room = room.minus(&entry.need);
+            targets.push((*i, entry.need));
             *moved.entry((task.job.clone(), bins[*i].zone)).or_default() += 1;
         }
-        true
+        Some(targets)
     }
 
     /// Room kept free for critical work, as asks that come last and are never started.
