--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -962,15 +962,16 @@
             let started = job.done_count() + work.placed.len() as u64;
             let turn = placement::copies(&params.teams[team].most(), &job.need);
             let waited = work.known.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            let aims = settings.waits(&job.spec.class).count();
             let missed = settings.missed_waits(&job.spec.class, waited);
             order.push(Claim {
                 urgency: job.spec.urgency,
                 beyond,
                 had_turn: started >= turn,
                 missed,
+                size: if missed > 0 && missed == aims { 0 } else { job.spec.tasks },
                 age: at,
                 team,
-                tasks: job.spec.tasks,
             });
             if work.old && !unsure.is_empty() {
                 let unseen = job
@@ -981,8 +982,7 @@
                 hidden[team] = hidden[team].plus(&job.need.times(unseen));
             }
         }
-        let aims = |claim: &Claim| settings.waits(&live[claim.age].1.spec.class).count();
-        placement::order_of_service(&mut order, aims);
+        placement::order_of_service(&mut order);
 
         let used = self.team_use();
         let mut team_room: Vec<Amount> = params
