A new leader takes first sessions for granted and spares a question per machine

A worker refuses a wrong session with its report, so the question is not needed where the guess is right. Ruled out: waiting for machines that don't answer (none after 1.5 s).

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -74,6 +74,8 @@
 /// A leader that gave up for want of workers does not campaign for this long.
 pub const RESIGN_REST: Duration = Duration::from_secs(15);
 
+/// Count. PROTOCOL starts a worker's sessions at this.
+pub const FIRST_SESSION: u64 = 1;
 /// Timeout of a direct command to a worker.
 pub const WORKER_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Added to a worker's lease before its tasks count as dead: packet and timer delays.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -850,8 +850,14 @@
             }
             if machine.session == 0 {
                 if !machine.confirmed {
+                    // Few leases ever expire, so most machines are in their first session and
+                    // confirm themselves with this one answer. Any other refuses, and its refusal
+                    // tells the session: with hundreds of machines a question before costs a
+                    // take-over most of a second.
+                    let session = Some(FIRST_SESSION);
+                    let orders = Orders { token: self.token, session, orders: Vec::new() };
                     machine.direct_in_flight = true;
-                    self.direct.push((machine.id.clone(), address, Direct::Status));
+                    self.direct.push((machine.id.clone(), address, Direct::Do(orders)));
                 }
                 continue;
             }
