--- a/src/placement.rs
+++ b/src/placement.rs
@@ -466,9 +466,9 @@
         }
     }
 
-    fn random_input(random: &mut StdRng) -> Input {
+    fn random_input(random: &mut StdRng, machines: u64, tasks: u32) -> Input {
         let size = Amount::room(16.0, 0.0, 64.0);
-        let bins = (0..random.random_range(0..12u64))
+        let bins = (0..random.random_range(0..machines))
             .map(|index| {
                 let used = Amount::need(f64::from(random.random_range(0..17u32)), 0.0, 0.0);
                 let basket = match random.random_range(0..3) {
@@ -498,26 +498,29 @@
                     urgency: if random.random() { Urgency::Production } else { Urgency::High },
                     need,
                     basket: basket_of(&need, &[size], 0.5),
-                    count: random.random_range(1..9),
+                    count: random.random_range(1..tasks),
                     zone: random.random::<bool>().then(|| random.random_range(0..3)),
                     flavors: None,
                     spot: random.random(),
                     zone_room: vec![if spread { 3 } else { u32::MAX }; 3],
                     one_zone: false,
                     image: random.random_range(0..3),
-                    avoid: (0..12).filter(|_| random.random_range(0..9) == 0).collect(),
+                    avoid: (0..machines).filter(|_| random.random_range(0..9) == 0).collect(),
                     gang: random.random_range(0..4) == 0,
                 }
             })
             .collect();
-        let room = Amount { cpu: random.random_range(0..90_000_000), gpu: 0, ram: u64::MAX };
+        let cpu = random.random_range(0..machines * 7_500_000);
+        let room = Amount { cpu, gpu: 0, ram: u64::MAX };
         Input { bins, asks, team_room: vec![room; 2], offers: vec![], heavy_cap: 3 }
     }
 
     #[test]
     fn the_planner_places_as_the_plain_model_does() {
         for seed in 0..3000 {
-            let input = random_input(&mut StdRng::seed_from_u64(seed));
+            // Most as small as a mistake is easily found in, some of hundreds of machines.
+            let (machines, tasks) = if seed % 100 == 0 { (600, 300) } else { (12, 9) };
+            let input = random_input(&mut StdRng::seed_from_u64(seed), machines, tasks);
             let want = model(&input);
             assert_eq!(plan(input).places, want, "seed {seed}");
         }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -84,6 +84,21 @@
     CutWorkers(bool),
     Outage(bool),
     TakeMachine,
+    /// All spot machines, without notice.
+    TakeSpot,
+    /// The state service refuses this node alone.
+    Refused(usize, bool),
+    CloudOutage(bool),
+    /// The cloud has two machines of a kind instead of six.
+    Scarce(bool),
+    /// A third of the new machines never comes up, the others late.
+    BadBoots(bool),
+    /// Connections between nodes are refused.
+    Mesh(bool),
+    /// The node takes up to 150 ms longer for most of what it does.
+    SlowNode(usize, bool),
+    /// Tasks started meanwhile run three times as long.
+    SlowMachines(bool),
 }
 
 #[derive(Default)]
@@ -155,6 +170,13 @@
     cut_node: [bool; NODES],
     cut_zones: bool,
     cut_workers: Option<usize>,
+    refused: Option<usize>,
+    slow_node: Option<usize>,
+    cloud_out: bool,
+    scarce: bool,
+    bad_boots: bool,
+    no_mesh: bool,
+    slow_machines: bool,
     held: Vec<Due>,
     broken: Vec<String>,
     starts: u64,
@@ -187,6 +209,13 @@
             cut_node: [false; NODES],
             cut_zones: false,
             cut_workers: None,
+            refused: None,
+            slow_node: None,
+            cloud_out: false,
+            scarce: false,
+            bad_boots: false,
+            no_mesh: false,
+            slow_machines: false,
             held: Vec::new(),
             broken: Vec::new(),
             starts: 0,
@@ -252,7 +281,10 @@
                 self.at(self.t + 40, Due::Tick(node));
             }
             Due::Node(node, incarnation, event) => {
-                if self.incarnation[node] == incarnation {
+                if self.slow_node == Some(node) && self.random.random_bool(0.7) {
+                    let later = self.t + self.random.random_range(1..150);
+                    self.at(later, Due::Node(node, incarnation, event));
+                } else if self.incarnation[node] == incarnation {
                     self.tell(node, event);
                 }
             }
@@ -336,6 +368,9 @@
     fn mesh(&mut self, from: usize, to: &NodeName, message: MeshMessage) {
         let to: usize = to.as_str()[2..].parse().unwrap();
         let due = Due::Node(to, self.incarnation[to], Event::Mesh(message));
+        if self.no_mesh {
+            return;
+        }
         if self.cut(from, Self::node_zone(to)) || self.cut_node[to] {
             // Held back by the network, and delivered when the cut ends.
             self.held.push(due);
@@ -347,7 +382,7 @@
     // ---- the state service ---------------------------------------------------------------
 
     fn state(&mut self, node: usize, incarnation: u32, id: u64, call: StateCall) {
-        let reply = if self.store.out {
+        let reply = if self.store.out || self.refused == Some(node) {
             if let StateCall::Follow { after, wait } = &call
                 && !wait.is_zero()
             {
@@ -494,6 +529,11 @@
     // ---- the cloud -------------------------------------------------------------------------
 
     fn cloud(&mut self, node: usize, incarnation: u32, id: u64, call: CloudCall) {
+        if self.cloud_out {
+            let body = wire::encode(&wire::CloudError { error: "trouble".into() });
+            let refusal = Ok(Response::with(503, body));
+            return self.soon(Due::Node(node, incarnation, Event::Cloud(id, refusal)));
+        }
         let response = match call {
             CloudCall::Flavors => Response::with(
                 200,
@@ -516,7 +556,8 @@
                 let known = self.hired.get(&hire.request).cloned();
                 let alike = |w: &&Worker| !w.gone && w.zone == kind.zone && w.spot == kind.spot;
                 let held = self.workers.values().filter(alike).count();
-                let room = 6usize.saturating_sub(held).min(hire.count as usize);
+                let most = if self.scarce { 2usize } else { 6 };
+                let room = most.saturating_sub(held).min(hire.count as usize);
                 if known.is_none() && room == 0 {
                     let error = NO_CAPACITY.into();
                     Response::with(503, wire::encode(&wire::CloudError { error }))
@@ -566,7 +607,10 @@
     fn rent(&mut self, zone: usize, spot: bool) -> MachineId {
         self.next_machine += 1;
         let id = MachineId::new(&format!("i-{:06}", self.next_machine));
-        let up_at = self.t + self.random.random_range(1000..8000);
+        let boot = self.random.random_range(1000..8000);
+        let never = self.bad_boots && self.random.random_range(0..3) == 0;
+        let factor = if self.bad_boots { 3 } else { 1 };
+        let up_at = if never { u64::MAX / 2 } else { self.t + boot * factor };
         self.workers.insert(
             id.clone(),
             Worker {
@@ -760,7 +804,8 @@
         let spec = job.spec.clone();
         let late = job.told_cancelled.is_some_and(|at| self.t > at + CANCEL_MS);
         let t = self.t;
-        let run_ms = self.random.random_range(2000..9000);
+        let factor = if self.slow_machines { 3 } else { 1 };
+        let run_ms = self.random.random_range(2000..9000) * factor;
         let worker = self.workers.get_mut(id).unwrap();
         if worker.tasks.get(&task).is_some_and(|r| r.attempt == attempt) {
             return;
@@ -946,6 +991,19 @@
                     *until = t + *ms;
                 }
             }
+            Fault::Refused(node, on) => self.refused = on.then_some(node),
+            Fault::CloudOutage(on) => self.cloud_out = on,
+            Fault::Scarce(on) => self.scarce = on,
+            Fault::BadBoots(on) => self.bad_boots = on,
+            Fault::Mesh(on) => self.no_mesh = on,
+            Fault::SlowNode(node, on) => self.slow_node = on.then_some(node),
+            Fault::SlowMachines(on) => self.slow_machines = on,
+            Fault::TakeSpot => {
+                for worker in self.workers.values_mut().filter(|w| w.spot) {
+                    worker.gone = true;
+                    worker.tasks.clear();
+                }
+            }
             Fault::TakeMachine => {
                 if let Some(worker) = self.workers.values_mut().find(|w| !w.gone && w.spot) {
                     worker.gone = true;
@@ -1122,6 +1180,46 @@
     assert!(held > 0, "no start was held back");
 }
 
+/// The troubles that the operators of the grown deployments list beyond the others here, alone
+/// and each together with the next.
+#[test]
+fn troubles_of_cloud_machines_and_single_nodes() {
+    let troubles: [fn(usize, bool) -> Fault; 7] = [
+        Fault::Refused,
+        |_, on| Fault::CloudOutage(on),
+        |_, on| Fault::Scarce(on),
+        |_, on| Fault::BadBoots(on),
+        |_, on| Fault::Mesh(on),
+        Fault::SlowNode,
+        |_, on| Fault::SlowMachines(on),
+    ];
+    for seed in 100..114 {
+        let node = seed as usize % NODES;
+        let (one, two) = (troubles[seed as usize % 7], troubles[(seed as usize + 1) % 7]);
+        let mut faults = vec![(12_000, one(node, true)), (40_000, one(node, false))];
+        if seed >= 107 {
+            faults.extend([(20_000, two(node, true)), (45_000, two(node, false))]);
+            faults.push((25_000, Fault::TakeSpot));
+        }
+        World::day(seed, &faults);
+    }
+}
+
+#[test]
+fn a_burst_of_jobs_is_served_within_its_team_s_limit() {
+    for seed in 120..124 {
+        let mut world = World::new(seed);
+        world.submit_at(3000, 0, true, None);
+        for n in 1..60 {
+            world.submit_at(20_000 + n * 50, n, false, None);
+        }
+        world.at(30_000, Due::Fault(Fault::Crash(seed as usize % NODES)));
+        world.run(170_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        assert!(world.jobs.values().skip(1).all(|job| job.told_done), "seed {seed}");
+    }
+}
+
 #[test]
 fn troubles_come_together() {
     for seed in 60..72 {
