A service whose replicas ran before finds its room before a new one

Ruled out: lost machines and leases; the pace of moves (one moved machine is enough). Within an urgency such services now come first.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -972,6 +972,7 @@
             let missed = settings.missed_waits(&job.spec.class, waited);
             order.push(Claim {
                 urgency: job.spec.urgency,
+                fresh: job.spec.shape != Shape::Service || work.retry.is_empty(),
                 beyond,
                 had_turn: started >= turn,
                 missed,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -35,6 +35,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Claim {
     pub urgency: Urgency,
+    /// No service whose replicas ran before. One that was moved must find the room that it was
+    /// moved for, or it is down while a new one starts there.
+    pub fresh: bool,
     /// It does not fit into its team's guarantee together with the team's earlier jobs.
     pub beyond: bool,
     /// It has started as many tasks as its team may run at once: a big one does not starve the
@@ -50,7 +53,7 @@
     pub team: usize,
 }
 
-/// The order of service: urgency, guarantee, turn, missed aims, then size, since the users count
+/// The order of service: urgency, what ran before, guarantee, turn, missed aims, then size, since the users count
 /// jobs: many small ones start in the time that one large one takes. Among teams the guarantee
 /// decides first; which of its jobs a team serves when it is its turn does not depend on it.
 pub fn order_of_service(claims: &mut [Claim]) {
@@ -61,7 +64,7 @@
     }
     for places in turns.values() {
         let mut jobs: Vec<Claim> = places.iter().map(|place| claims[*place]).collect();
-        jobs.sort_by_key(|job| (job.missed, job.had_turn, job.size, job.age));
+        jobs.sort_by_key(|job| (job.fresh, job.missed, job.had_turn, job.size, job.age));
         for (place, job) in places.iter().zip(jobs) {
             claims[*place] = job;
         }
@@ -440,6 +443,7 @@
             let mut claims: Vec<Claim> = (0..count)
                 .map(|age| Claim {
                     urgency: if random.random() { Urgency::High } else { Urgency::Production },
+                    fresh: random.random(),
                     beyond: random.random(),
                     had_turn: random.random(),
                     missed: random.random_range(0..3),
@@ -455,8 +459,8 @@
             assert!(claims.iter().map(turn).eq(plain.iter().map(turn)));
             for (at, a) in claims.iter().enumerate() {
                 for b in claims[at + 1..].iter().filter(|b| turn(b) == turn(a)) {
-                    assert!(a.missed <= b.missed);
-                    if a.missed == b.missed && a.had_turn == b.had_turn {
+                    assert!((a.fresh, a.missed) <= (b.fresh, b.missed));
+                    if (a.fresh, a.missed, a.had_turn) == (b.fresh, b.missed, b.had_turn) {
                         assert!((a.size, a.age) < (b.size, b.age));
                     }
                 }
