Idle spot machines are kept longer, by how much cheaper they are

Cause: arrays that come just after others ended find their spot machines given back and wait for a boot, 15 s where users wait 8 s; an idle second of a spot machine costs a quarter of an ordinary one.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -818,8 +818,14 @@
                 let idle = now.saturating_duration_since(since);
                 // A machine costs a minute at the least.
                 let paid = age < Duration::from_secs(55);
+                // Idle time costs a spot machine that much less, and a boot costs its users the same.
+                let cheap = if machine.spot && flavor.spot_price > 0.0 {
+                    (flavor.price / flavor.spot_price).max(1.0)
+                } else {
+                    1.0
+                };
                 if machine.confirmed
-                    && idle > idle_return
+                    && idle > idle_return.mul_f64(cheap)
                     && !paid
                     && !self.reserved.contains(&machine.id)
                     && now > self.since + HIRE_SETTLE * 4
