--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -938,31 +938,16 @@
         used
     }
 
-    fn plan(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
-        let settings = self.settings.clone();
+    /// What each live job (in order of age) may claim, in order of service; and what each team's
+    /// tasks may be using on machines that no report has shown yet.
+    fn claims(
+        &self,
+        live: &[(&JobId, &LiveJob)],
+        unsure: bool,
+        now: Instant,
+    ) -> (Vec<Claim>, Vec<Amount>) {
+        let settings = &self.settings;
         let params = &settings.platform.params;
-        let zones = params.zones.len();
-        let sizes: Vec<Amount> = (0..self.flavors.len()).map(|f| self.size(f)).collect();
-        let threshold = settings.operator.heavy_threshold;
-
-        // Machines on which tasks may run that no report has shown yet.
-        let unsure: Vec<(usize, usize, bool)> = self
-            .machines
-            .values()
-            .filter(|m| !m.confirmed)
-            .map(|m| (m.flavor, m.zone, m.spot))
-            .collect();
-        let unsure_room = self
-            .machines
-            .values()
-            .filter(|m| !m.confirmed)
-            .fold(Amount::default(), |sum, m| sum.plus(&self.size(m.flavor).minus(&m.used())));
-
-        // Live jobs in order of service: urgency, then what lies within its team's guarantee,
-        // then age.
-        let mut live: Vec<(&JobId, &LiveJob)> =
-            self.work.keys().filter_map(|id| Some((id, cache.jobs.get(id)?.live()?))).collect();
-        live.sort_by(|a, b| (a.1.accepted_ms, a.0).cmp(&(b.1.accepted_ms, b.0)));
         let mut claimed = vec![Amount::default(); params.teams.len()];
         let mut hidden = vec![Amount::default(); params.teams.len()];
         let mut order: Vec<Claim> = Vec::new();
@@ -986,7 +971,7 @@
                 age: at,
                 team,
             });
-            if work.old && !unsure.is_empty() {
+            if work.old && unsure {
                 let unseen = job
                     .spec
                     .tasks
@@ -996,6 +981,129 @@
             }
         }
         placement::order_of_service(&mut order);
+        (order, hidden)
+    }
+
+    /// The machines that placement may use, up or booting, each with its name.
+    fn bins(&mut self, sizes: &[Amount], now: Instant) -> (Vec<Bin>, Vec<Option<MachineId>>) {
+        let settings = self.settings.clone();
+        let threshold = settings.operator.heavy_threshold;
+        let quiet = settings.report_every() * 2 + Duration::from_secs(1);
+        let mut bins = Vec::new();
+        let mut names = Vec::new();
+        let hold = Duration::from_secs_f64(settings.operator.hold_s);
+        for machine in self.machines.values_mut() {
+            let flavor = &self.flavors[machine.flavor];
+            let age = now.saturating_duration_since(machine.rented);
+            let booting = machine.life == Life::Booting
+                && age < Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
+            let up = machine.life == Life::Up
+                && machine.recall_at.is_none()
+                && machine.failed_jobs.len() < FAULTY_JOBS
+                && machine.heard.is_some()
+                && machine.silent_for(now) < quiet;
+            let coming = machine.life == Life::Up && !machine.confirmed;
+            if !(booting || up || coming) {
+                continue;
+            }
+            let mut basket = None;
+            for entry in machine.entries.values() {
+                if entry.state != TaskState::Exited {
+                    let this = placement::basket_of(&entry.need, sizes, threshold);
+                    if basket != Some(Basket::Heavy) {
+                        basket = Some(this);
+                    }
+                }
+            }
+            for image in &machine.images[machine.image_ids.len()..] {
+                machine.image_ids.push(Self::image_id(&mut self.images, image));
+            }
+            let held = machine.idle_since.is_some_and(|at| now < at + hold);
+            if basket.is_some() || !held {
+                machine.basket = basket;
+            }
+            bins.push(Bin {
+                index: machine.index,
+                zone: machine.zone,
+                flavor: machine.flavor,
+                spot: machine.spot,
+                free: sizes[machine.flavor].minus(&machine.used()),
+                basket: machine.basket,
+                ready: up && machine.confirmed && machine.recorded,
+                images: machine.image_ids.clone(),
+            });
+            names.push(Some(machine.id.clone()));
+        }
+        (bins, names)
+    }
+
+    /// Starts what was placed, but not where urgent work would wait for an image while less
+    /// urgent work can make way where the image is. Places of asks beyond the jobs' own are room
+    /// that is kept warm.
+    fn start_planned(
+        &mut self,
+        places: &[(usize, usize)],
+        names: &[Option<MachineId>],
+        sources: &mut [(JobId, Vec<u32>)],
+        urgent: &mut [(usize, Ask)],
+        cache: &Cache,
+        now: Instant,
+    ) {
+        self.reserved.clear();
+        for (ask, bin) in places {
+            let Some(Some(id)) = names.get(*bin) else { continue };
+            let Some((job, waiting)) = sources.get_mut(*ask) else {
+                self.reserved.insert(id.clone());
+                continue;
+            };
+            if waiting.is_empty() {
+                continue;
+            }
+            let id = id.clone();
+            let Some(machine) = self.machines.get(&id) else { continue };
+            let zone = machine.zone;
+            if let Some((_, ask)) = urgent.iter_mut().find(|(n, _)| n == ask) {
+                let cold = !machine.image_ids.contains(&ask.image);
+                if cold && self.fetch_is_late(job, &id, cache) {
+                    let room = self.preempt_one(ask, true, cache, now);
+                    if room {
+                        // It goes where its image is, as soon as that room is free.
+                        continue;
+                    }
+                }
+                if ask.zone_room[zone] != u32::MAX {
+                    ask.zone_room[zone] = ask.zone_room[zone].saturating_sub(1);
+                }
+            }
+            let task = TaskId { job: job.clone(), index: waiting.remove(0) };
+            self.start(&id, task, cache, now);
+        }
+    }
+
+    fn plan(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
+        let settings = self.settings.clone();
+        let params = &settings.platform.params;
+        let zones = params.zones.len();
+        let sizes: Vec<Amount> = (0..self.flavors.len()).map(|f| self.size(f)).collect();
+        let threshold = settings.operator.heavy_threshold;
+
+        // Machines on which tasks may run that no report has shown yet.
+        let unsure: Vec<(usize, usize, bool)> = self
+            .machines
+            .values()
+            .filter(|m| !m.confirmed)
+            .map(|m| (m.flavor, m.zone, m.spot))
+            .collect();
+        let unsure_room = self
+            .machines
+            .values()
+            .filter(|m| !m.confirmed)
+            .fold(Amount::default(), |sum, m| sum.plus(&self.size(m.flavor).minus(&m.used())));
+
+        let mut live: Vec<(&JobId, &LiveJob)> =
+            self.work.keys().filter_map(|id| Some((id, cache.jobs.get(id)?.live()?))).collect();
+        live.sort_by(|a, b| (a.1.accepted_ms, a.0).cmp(&(b.1.accepted_ms, b.0)));
+        let (order, hidden) = self.claims(&live, !unsure.is_empty(), now);
 
         let used = self.team_use();
         let mut team_room: Vec<Amount> = params
@@ -1119,53 +1227,7 @@
         let silent = self.silent_zones(now);
         self.warm_asks(&mut asks, &sizes, &silent, params.teams.len());
 
-        // Bins.
-        let quiet = settings.report_every() * 2 + Duration::from_secs(1);
-        let mut bins = Vec::new();
-        let mut names = Vec::new();
-        let hold = Duration::from_secs_f64(settings.operator.hold_s);
-        for machine in self.machines.values_mut() {
-            let flavor = &self.flavors[machine.flavor];
-            let age = now.saturating_duration_since(machine.rented);
-            let booting = machine.life == Life::Booting
-                && age < Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
-            let up = machine.life == Life::Up
-                && machine.recall_at.is_none()
-                && machine.failed_jobs.len() < FAULTY_JOBS
-                && machine.heard.is_some()
-                && machine.silent_for(now) < quiet;
-            let coming = machine.life == Life::Up && !machine.confirmed;
-            if !(booting || up || coming) {
-                continue;
-            }
-            let mut basket = None;
-            for entry in machine.entries.values() {
-                if entry.state != TaskState::Exited {
-                    let this = placement::basket_of(&entry.need, &sizes, threshold);
-                    if basket != Some(Basket::Heavy) {
-                        basket = Some(this);
-                    }
-                }
-            }
-            for image in &machine.images[machine.image_ids.len()..] {
-                machine.image_ids.push(Self::image_id(&mut self.images, image));
-            }
-            let held = machine.idle_since.is_some_and(|at| now < at + hold);
-            if basket.is_some() || !held {
-                machine.basket = basket;
-            }
-            bins.push(Bin {
-                index: machine.index,
-                zone: machine.zone,
-                flavor: machine.flavor,
-                spot: machine.spot,
-                free: sizes[machine.flavor].minus(&machine.used()),
-                basket: machine.basket,
-                ready: up && machine.confirmed && machine.recorded,
-                images: machine.image_ids.clone(),
-            });
-            names.push(Some(machine.id.clone()));
-        }
+        let (mut bins, mut names) = self.bins(&sizes, now);
         let pending = cloud.pending();
         for (kind, count) in &pending {
             for _ in 0..*count {
@@ -1203,36 +1265,7 @@
             .collect();
         let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap });
 
-        self.reserved.clear();
-        for (ask, bin) in &plan.places {
-            let Some(Some(id)) = names.get(*bin) else { continue };
-            if *ask >= real_asks {
-                self.reserved.insert(id.clone());
-                continue;
-            }
-            let (job, waiting) = &mut sources[*ask];
-            if waiting.is_empty() {
-                continue;
-            }
-            let id = id.clone();
-            let Some(machine) = self.machines.get(&id) else { continue };
-            let zone = machine.zone;
-            if let Some((_, ask)) = urgent.iter_mut().find(|(n, _)| n == ask) {
-                let cold = !machine.image_ids.contains(&ask.image);
-                if cold && self.fetch_is_late(job, &id, cache) {
-                    let room = self.preempt_one(ask, true, cache, now);
-                    if room {
-                        // It goes where its image is, as soon as that room is free.
-                        continue;
-                    }
-                }
-                if ask.zone_room[zone] != u32::MAX {
-                    ask.zone_room[zone] = ask.zone_room[zone].saturating_sub(1);
-                }
-            }
-            let task = TaskId { job: job.clone(), index: waiting.remove(0) };
-            self.start(&id, task, cache, now);
-        }
+        self.start_planned(&plan.places, &names, &mut sources, &mut urgent, cache, now);
         let unplaced = urgent.into_iter().map(|(n, ask)| (sources[n].1.len(), ask)).collect();
         self.preempt(unplaced, &room, cache, now);
         for (n, count) in plan.hires.iter().enumerate() {
