--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1080,12 +1080,115 @@
         }
     }
 
+    /// What a job asks for: at most so many of its waiting tasks. `unsure` are the kinds of
+    /// machines on which a predecessor may have started what no report has shown yet; `wake` is
+    /// when the first pause after a failure ends.
+    #[allow(clippy::too_many_arguments)]
+    fn ask_for(
+        &mut self,
+        id: &JobId,
+        job: &LiveJob,
+        most: usize,
+        unsure: &[(usize, usize, bool)],
+        sizes: &[Amount],
+        wake: &mut Option<Instant>,
+        now: Instant,
+    ) -> Option<(Ask, Vec<u32>)> {
+        let spec = &job.spec;
+        let work = self.work.get(id)?;
+        let team = self.teams[&spec.team];
+        let flavors: Option<Vec<usize>> = spec.flavors.as_ref().map(|names| {
+            names
+                .iter()
+                .filter_map(|name| self.flavors.iter().position(|f| f.name == *name))
+                .collect()
+        });
+        let zone = match &spec.zone {
+            Some(name) => match self.zone(name) {
+                Some(zone) => Some(zone),
+                None => return None,
+            },
+            None => None,
+        };
+        if work.old
+            && unsure.iter().any(|(flavor, at, spot)| {
+                (spec.spot || !spot)
+                    && zone.is_none_or(|z| z == *at)
+                    && flavors.as_ref().is_none_or(|list| list.contains(flavor))
+            })
+        {
+            return None;
+        }
+        if spec.shape == Shape::Gang && !work.placed.is_empty() {
+            // A generation of a gang starts as a whole: when one of its tasks is lost, the
+            // others end by themselves and all start again under a new attempt.
+            return None;
+        }
+        let chunk = self.settings.chunk_tasks();
+        let mut waiting = Vec::new();
+        let mut cursor = None;
+        for task in work.cursor..job.tasks() {
+            if waiting.len() >= most {
+                cursor.get_or_insert(task);
+                break;
+            }
+            if work.placed.contains_key(&task) || job.is_done(task, chunk) {
+                continue;
+            }
+            cursor.get_or_insert(task);
+            match work.retry.get(&task) {
+                Some((at, _)) if *at > now => {
+                    *wake = Some(wake.map_or(*at, |w: Instant| w.min(*at)));
+                }
+                _ => waiting.push(task),
+            }
+        }
+        let work = self.work.get_mut(id)?;
+        work.cursor = cursor.unwrap_or(job.tasks());
+        if waiting.is_empty() {
+            return None;
+        }
+        let mut in_zone = vec![0u32; self.settings.platform.params.zones.len()];
+        let mut fixed = None;
+        for (machine, _) in work.placed.values() {
+            if let Some(machine) = self.machines.get(machine) {
+                in_zone[machine.zone] += 1;
+                fixed = Some(machine.zone);
+            }
+        }
+        let half = (spec.tasks as u32).div_ceil(2);
+        let zone_room = in_zone
+            .iter()
+            .map(|n| if spec.spread { half.saturating_sub(*n) } else { u32::MAX })
+            .collect();
+        let avoid = if work.failed_on.len() > FAULTY_JOBS {
+            Vec::new()
+        } else {
+            let index = |id| self.machines.get(id).map(|m: &Machine| m.index);
+            work.failed_on.iter().filter_map(index).collect()
+        };
+        let ask = Ask {
+            team,
+            urgency: spec.urgency,
+            need: job.need,
+            basket: placement::basket_of(&job.need, sizes, self.settings.operator.heavy_threshold),
+            count: waiting.len() as u32,
+            zone: zone.or(if spec.one_zone { fixed } else { None }),
+            flavors,
+            spot: spec.spot,
+            zone_room,
+            one_zone: spec.one_zone,
+            image: Self::image_id(&mut self.images, &spec.image),
+            avoid,
+            gang: spec.shape == Shape::Gang,
+        };
+        Some((ask, waiting))
+    }
+
     fn plan(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let settings = self.settings.clone();
         let params = &settings.platform.params;
-        let zones = params.zones.len();
         let sizes: Vec<Amount> = (0..self.flavors.len()).map(|f| self.size(f)).collect();
-        let threshold = settings.operator.heavy_threshold;
 
         // Machines on which tasks may run that no report has shown yet.
         let unsure: Vec<(usize, usize, bool)> = self
@@ -1100,8 +1203,11 @@
             .filter(|m| !m.confirmed)
             .fold(Amount::default(), |sum, m| sum.plus(&self.size(m.flavor).minus(&m.used())));
 
-        let mut live: Vec<(&JobId, &LiveJob)> =
-            self.work.keys().filter_map(|id| Some((id, cache.jobs.get(id)?.live()?))).collect();
+        let known = |id| {
+            let (id, job) = cache.jobs.all.get_key_value(id)?;
+            Some((id, job.live()?))
+        };
+        let mut live: Vec<(&JobId, &LiveJob)> = self.work.keys().filter_map(known).collect();
         live.sort_by(|a, b| (a.1.accepted_ms, a.0).cmp(&(b.1.accepted_ms, b.0)));
         let (order, hidden) = self.claims(&live, !unsure.is_empty(), now);
 
@@ -1117,110 +1223,21 @@
 
         let mut asks: Vec<Ask> = Vec::new();
         let mut sources: Vec<(JobId, Vec<u32>)> = Vec::new();
-        let chunk = settings.chunk_tasks();
         let mut budget = PLAN_TASKS_MAX;
         let mut wake: Option<Instant> = None;
-        let mut updates: Vec<(JobId, u32)> = Vec::new();
         for Claim { age: at, .. } in order {
             if budget == 0 {
                 self.plan_wanted = true;
                 break;
             }
             let (id, job) = live[at];
-            let spec = &job.spec;
-            let work = &self.work[id];
-            let team = self.teams[&spec.team];
-            let flavors: Option<Vec<usize>> = spec.flavors.as_ref().map(|names| {
-                names
-                    .iter()
-                    .filter_map(|name| self.flavors.iter().position(|f| f.name == *name))
-                    .collect()
-            });
-            let zone = match &spec.zone {
-                Some(name) => match self.zone(name) {
-                    Some(zone) => Some(zone),
-                    None => continue,
-                },
-                None => None,
-            };
-            if work.old
-                && unsure.iter().any(|(flavor, at, spot)| {
-                    (spec.spot || !spot)
-                        && zone.is_none_or(|z| z == *at)
-                        && flavors.as_ref().is_none_or(|list| list.contains(flavor))
-                })
-            {
-                continue;
-            }
-            if spec.shape == Shape::Gang && !work.placed.is_empty() {
-                // A generation of a gang starts as a whole: when one of its tasks is lost, the
-                // others end by themselves and all start again under a new attempt.
-                continue;
-            }
+            let team = self.teams[&job.spec.team];
             let most = placement::copies(&team_room[team], &job.need).min(budget as u64) as usize;
-            let mut waiting = Vec::new();
-            let mut cursor = None;
-            for task in work.cursor..job.tasks() {
-                if waiting.len() >= most {
-                    cursor.get_or_insert(task);
-                    break;
-                }
-                if work.placed.contains_key(&task) || job.is_done(task, chunk) {
-                    continue;
-                }
-                cursor.get_or_insert(task);
-                match work.retry.get(&task) {
-                    Some((at, _)) if *at > now => {
-                        wake = Some(wake.map_or(*at, |w: Instant| w.min(*at)));
-                    }
-                    _ => waiting.push(task),
-                }
-            }
-            updates.push((id.clone(), cursor.unwrap_or(job.tasks())));
-            if waiting.is_empty() {
-                continue;
-            }
-            budget -= waiting.len();
-            let mut in_zone = vec![0u32; zones];
-            let mut fixed = None;
-            for (machine, _) in work.placed.values() {
-                if let Some(machine) = self.machines.get(machine) {
-                    in_zone[machine.zone] += 1;
-                    fixed = Some(machine.zone);
-                }
-            }
-            let half = (spec.tasks as u32).div_ceil(2);
-            let zone_room = in_zone
-                .iter()
-                .map(|n| if spec.spread { half.saturating_sub(*n) } else { u32::MAX })
-                .collect();
-            let avoid = if work.failed_on.len() > FAULTY_JOBS {
-                Vec::new()
-            } else {
-                let index = |id| self.machines.get(id).map(|m: &Machine| m.index);
-                work.failed_on.iter().filter_map(index).collect()
-            };
-            asks.push(Ask {
-                team,
-                urgency: spec.urgency,
-                need: job.need,
-                basket: placement::basket_of(&job.need, &sizes, threshold),
-                count: waiting.len() as u32,
-                zone: zone.or(if spec.one_zone { fixed } else { None }),
-                flavors,
-                spot: spec.spot,
-                zone_room,
-                one_zone: spec.one_zone,
-                image: Self::image_id(&mut self.images, &spec.image),
-                avoid,
-                gang: spec.shape == Shape::Gang,
-            });
-            sources.push((id.clone(), waiting));
-        }
-        drop(live);
-        for (id, cursor) in updates {
-            if let Some(work) = self.work.get_mut(&id) {
-                work.cursor = cursor;
+            if let Some((ask, tasks)) = self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now)
+            {
+                budget -= tasks.len();
+                asks.push(ask);
+                sources.push((id.clone(), tasks));
             }
         }
         let real_asks = asks.len();
