--- a/src/constants.rs
+++ b/src/constants.rs
@@ -20,6 +20,8 @@
 /// Share of the platform's socket limit that the public listener may hold; the rest is for the
 /// mesh and our own calls.
 pub const PUBLIC_SOCKET_SHARE: f64 = 0.8;
+/// Share of the platform's socket limit that idle connections of ours to workers may hold.
+pub const IDLE_SOCKET_SHARE: f64 = 0.1;
 /// Count. Idle connections kept for each address we call.
 pub const IDLE_PER_ADDRESS: usize = 4;
 /// How long a connection of our own may take to open: several round trips with one resend.
--- a/src/http.rs
+++ b/src/http.rs
@@ -382,6 +382,69 @@
     Idle(SocketAddr, TcpStream),
 }
 
+/// Idle connections. A leader speaks to hundreds of workers, each of which also holds a connection
+/// of its own to it: idle ones must not use up the sockets that those and the state service need.
+#[derive(Default)]
+struct Pool {
+    most: usize,
+    always: Vec<SocketAddr>,
+    idle: HashMap<SocketAddr, Vec<(TcpStream, Instant)>>,
+    count: usize,
+    swept: Option<Instant>,
+}
+
+impl Pool {
+    fn counts(&self, address: &SocketAddr) -> bool {
+        !self.always.contains(address)
+    }
+
+    fn keep(&mut self, address: SocketAddr, stream: TcpStream) {
+        let counts = self.counts(&address);
+        if counts && self.count >= self.most {
+            if self.swept.is_some_and(|at| at.elapsed() < REUSE_WITHIN / 10) {
+                return;
+            }
+            self.sweep();
+            if self.count >= self.most {
+                return;
+            }
+        }
+        let list = self.idle.entry(address).or_default();
+        if list.len() < IDLE_PER_ADDRESS {
+            list.push((stream, Instant::now()));
+            self.count += usize::from(counts);
+        }
+    }
+
+    /// Closes what is too old to be used again.
+    fn sweep(&mut self) {
+        self.swept = Some(Instant::now());
+        self.idle.retain(|_, list| {
+            list.retain(|(_, since)| since.elapsed() < REUSE_WITHIN);
+            !list.is_empty()
+        });
+        let counted = self.idle.iter().filter(|(address, _)| self.counts(address));
+        self.count = counted.map(|(_, list)| list.len()).sum();
+    }
+
+    fn take(&mut self, address: &SocketAddr) -> Option<TcpStream> {
+        let counts = self.counts(address);
+        let list = self.idle.get_mut(address)?;
+        let mut kept = None;
+        while let Some((stream, since)) = list.pop() {
+            self.count -= usize::from(counts);
+            if since.elapsed() < REUSE_WITHIN && still_open(&stream) {
+                kept = Some(stream);
+                break;
+            }
+        }
+        if list.is_empty() {
+            self.idle.remove(address);
+        }
+        kept
+    }
+}
+
 /// A handle to the client's pool of connections.
 #[derive(Clone)]
 pub struct Client {
@@ -389,34 +452,18 @@
 }
 
 impl Client {
-    /// Starts the pool actor; it ends when the last handle is dropped.
-    pub fn start() -> Client {
+    /// Starts the pool actor, which keeps at most so many idle connections, those to `always`
+    /// not counted; it ends when the last handle is dropped.
+    pub fn start(most: usize, always: Vec<SocketAddr>) -> Client {
         let (to, mut from) = mpsc::unbounded_channel();
         let back = to.downgrade();
         tokio::spawn(async move {
-            let mut idle: HashMap<SocketAddr, Vec<(TcpStream, Instant)>> = HashMap::new();
+            let mut pool = Pool { most, always, ..Pool::default() };
             while let Some(message) = from.recv().await {
                 match message {
-                    PoolMessage::Idle(address, stream) => {
-                        let list = idle.entry(address).or_default();
-                        list.retain(|(_, since)| since.elapsed() < REUSE_WITHIN);
-                        if list.len() < IDLE_PER_ADDRESS {
-                            list.push((stream, Instant::now()));
-                        }
-                    }
+                    PoolMessage::Idle(address, stream) => pool.keep(address, stream),
                     PoolMessage::Call(call) => {
-                        let mut kept = None;
-                        if let Some(list) = idle.get_mut(&call.address) {
-                            while let Some((stream, since)) = list.pop() {
-                                if since.elapsed() < REUSE_WITHIN && still_open(&stream) {
-                                    kept = Some(stream);
-                                    break;
-                                }
-                            }
-                            if list.is_empty() {
-                                idle.remove(&call.address);
-                            }
-                        }
+                        let kept = pool.take(&call.address);
                         let back = back.clone();
                         tokio::spawn(async move {
                             let address = call.address;
@@ -568,4 +615,26 @@
         let bytes = encode_response(&response, true);
         assert_eq!(parse_response(&bytes), Ok(Parsed::Done((response, true), bytes.len())));
     }
+
+    /// Hundreds of idle connections to workers must leave sockets for their reports.
+    #[tokio::test]
+    async fn idle_connections_are_bounded_but_not_those_to_the_state_service() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        let mut held = Vec::new();
+        let state = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut pool = Pool { most: 2, always: vec![state], ..Pool::default() };
+        for port in 10..15 {
+            for address in [SocketAddr::from(([127, 0, 0, 1], port)), state] {
+                let stream = TcpStream::connect(to).await.unwrap();
+                held.push(listener.accept().await.unwrap());
+                pool.keep(address, stream);
+            }
+        }
+        let workers = |pool: &Pool| pool.idle.keys().filter(|at| **at != state).count();
+        assert_eq!((workers(&pool), pool.idle[&state].len()), (2, IDLE_PER_ADDRESS));
+        assert!(pool.take(&SocketAddr::from(([127, 0, 0, 1], 10))).is_some());
+        assert!(pool.take(&state).is_some());
+        assert_eq!(pool.count, 1);
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -591,7 +591,9 @@
         tokio::spawn(mesh::dial(peer.peer_addr, rx));
         dialers.insert(peer.host_name.clone(), tx);
     }
-    let client = Client::start();
+    let sockets = platform.params.resources.max_sockets as f64 * IDLE_SOCKET_SHARE;
+    let always = vec![platform.external.state, platform.external.cloud];
+    let client = Client::start(sockets as usize, always);
     let Some(mut node) = Node::new(settings.clone(), rand::random(), Instant::now()) else {
         return Err(std::io::Error::other("histogram bounds"));
     };
