What keeps the leadership goes before the answers of hundreds of workers

Ruled out: the store (other controllers were served). Answers of the state service, mesh messages and ticks are few and come first now.

--- a/src/node.rs
+++ b/src/node.rs
@@ -580,6 +580,7 @@
     tracing::info!(node = %platform.host_name, listen = %platform.listen, "started");
 
     let (events, mut inbox) = mpsc::unbounded_channel::<Event>();
+    let (state_events, mut state_inbox) = mpsc::unbounded_channel::<Event>();
     let (http_tx, mut http_rx) = mpsc::channel::<Incoming>(USER_QUEUE_MAX);
     let sockets = platform.params.resources.max_sockets as f64 * PUBLIC_SOCKET_SHARE;
     tokio::spawn(http::serve(public, sockets as usize, http_tx));
@@ -601,15 +602,23 @@
     let mut next_ticket = FIRST_TICKET;
     let mut tick_at = Instant::now();
     loop {
+        // What keeps the leadership is few and goes first: behind the answers of hundreds of
+        // workers after a take-over, a renewal's came too late and the next take-over began.
         let event = tokio::select! {
-            Some(event) = inbox.recv() => event,
-            Some(incoming) = http_rx.recv() => {
-                next_ticket += 1;
-                replies.insert(next_ticket, incoming.reply);
-                Event::Http(next_ticket, incoming.request)
-            }
+            biased;
+            Some(event) = state_inbox.recv() => event,
             Some(message) = mesh_rx.recv() => Event::Mesh(message),
             _ = tokio::time::sleep_until(tick_at) => Event::Tick,
+            event = async {
+                tokio::select! {
+                    Some(event) = inbox.recv() => event,
+                    Some(incoming) = http_rx.recv() => {
+                        next_ticket += 1;
+                        replies.insert(next_ticket, incoming.reply);
+                        Event::Http(next_ticket, incoming.request)
+                    }
+                }
+            } => event,
         };
         let now = Instant::now();
         node.handle(event, now);
@@ -628,7 +637,7 @@
                     }
                 }
                 Effect::State(id, call) => {
-                    let (client, events) = (client.clone(), events.clone());
+                    let (client, events) = (client.clone(), state_events.clone());
                     let address = platform.external.state;
                     tokio::spawn(async move {
                         let (request, within) = call.request();
