--- a/src/constants.rs
+++ b/src/constants.rs
@@ -145,7 +145,7 @@
 pub const HEAVY_THRESHOLD: f64 = 0.5;
 /// Default seconds that an empty machine stays in its basket before the pool takes it back.
 pub const HOLD_S: f64 = 0.0;
-/// Default seconds that an empty machine is kept before it is returned to the cloud.
+/// Default seconds that an empty ordinary machine is kept before it is returned to the cloud.
 pub const IDLE_RETURN_S: f64 = 10.0;
 /// Default machines' worth of free room kept ready in each zone for critical work.
 pub const WARM_PER_ZONE: f64 = 0.5;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1750,26 +1750,11 @@
 
         fn job(&mut self, id: &str, shape: Shape, tasks: u64) -> JobId {
             let spec = JobSpec {
-                id: JobId::new(id),
-                class: "c".into(),
-                team: "t".into(),
                 shape,
-                urgency: Urgency::High,
-                tasks,
                 cpus: 4.0,
-                gpus: 0.0,
                 ram_gb: 4.0,
-                image: "i".into(),
-                image_gb: 1.0,
-                flavors: None,
-                zone: None,
-                one_zone: false,
-                spread: false,
                 spot: shape == Shape::Array,
-                expect_s: 10.0,
-                checkpoint_s: 0.0,
-                save_s: 0.0,
-                due_s: None,
+                ..jobs::plain_spec(id, tasks)
             };
             let change = jobs::accept(&Arc::new(spec), 1);
             let [Write::Put { data, .. }] = &change.writes[..] else { panic!() };
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -307,34 +307,39 @@
     }
 }
 
+/// A plain array for tests, here and elsewhere.
+#[cfg(test)]
+pub(crate) fn plain_spec(id: &str, tasks: u64) -> JobSpec {
+    JobSpec {
+        id: JobId::new(id),
+        class: "c".into(),
+        team: "t".into(),
+        shape: Shape::Array,
+        urgency: wire::Urgency::High,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        ram_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        flavors: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        expect_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::wire::Urgency;
 
     fn spec(id: &str, tasks: u64) -> Arc<JobSpec> {
-        Arc::new(JobSpec {
-            id: JobId::new(id),
-            class: "c".into(),
-            team: "t".into(),
-            shape: Shape::Array,
-            urgency: Urgency::High,
-            tasks,
-            cpus: 1.0,
-            gpus: 0.0,
-            ram_gb: 1.0,
-            image: "i".into(),
-            image_gb: 1.0,
-            flavors: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            expect_s: 10.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            due_s: None,
-        })
+        Arc::new(plain_spec(id, tasks))
     }
 
     fn apply(jobs: &mut Jobs, change: &Change, rev: u64) {
