Reread: keeping a connection drops those too old again, as it did before the pool was bounded

When the pool of idle connections was given its bound, the look that closed an address's aged connections on keeping a new one had been lost: four aged ones could keep a fresh one out. It is back, with the count kept right. A comment is wrapped.

--- a/src/http.rs
+++ b/src/http.rs
@@ -410,6 +410,11 @@
             }
         }
         let list = self.idle.entry(address).or_default();
+        let before = list.len();
+        list.retain(|(_, since)| since.elapsed() < REUSE_WITHIN);
+        if counts {
+            self.count -= before - list.len();
+        }
         if list.len() < IDLE_PER_ADDRESS {
             list.push((stream, Instant::now()));
             self.count += usize::from(counts);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -53,9 +53,9 @@
     pub team: usize,
 }
 
-/// The order of service: urgency, what ran before, guarantee, turn, missed aims, then size, since the users count
-/// jobs: many small ones start in the time that one large one takes. Among teams the guarantee
-/// decides first; which of its jobs a team serves when it is its turn does not depend on it.
+/// The order of service: urgency, what ran before, guarantee, turn, missed aims, then size, since
+/// the users count jobs: many small ones start in the time that one large one takes. Among teams
+/// the guarantee decides first; which of its jobs a team serves in its turn does not depend on it.
 pub fn order_of_service(claims: &mut [Claim]) {
     claims.sort();
     let mut turns: BTreeMap<(Urgency, usize), Vec<usize>> = BTreeMap::new();
