--- a/src/api.rs
+++ b/src/api.rs
@@ -70,26 +70,29 @@
         && spec.zone.as_ref().is_none_or(|zone| text(zone))
 }
 
-/// Whether the job can never run.
-fn impossible(spec: &JobSpec, settings: &Settings, flavors: &[Flavor]) -> bool {
+/// Why the job can never run, if it can't.
+fn impossible(spec: &JobSpec, settings: &Settings, flavors: &[Flavor]) -> Option<&'static str> {
     let params = &settings.platform.params;
-    let Some(team) = params.teams.iter().find(|team| team.name == spec.team) else { return true };
+    let Some(team) = params.teams.iter().find(|team| team.name == spec.team) else {
+        return Some("unknown team");
+    };
     let need = Amount::need(spec.cpus, spec.gpus, spec.ram_gb);
     let at_once = match spec.shape {
         Shape::Array => 1,
         Shape::Service | Shape::Gang => spec.tasks,
     };
     if !need.times(at_once).fits(&team.most()) {
-        return true;
+        return Some("beyond its team's limit");
     }
     if spec.zone.as_ref().is_some_and(|zone| !params.zones.contains(zone)) {
-        return true;
+        return Some("unknown zone");
     }
-    !flavors.iter().any(|flavor| {
+    let fits = flavors.iter().any(|flavor| {
         spec.flavors.as_ref().is_none_or(|list| list.contains(&flavor.name))
             && spec.zone.as_ref().is_none_or(|zone| flavor.zones.contains(zone))
             && need.fits(&Amount::room(flavor.cpus, flavor.gpus, flavor.ram_gb))
-    })
+    });
+    (!fits).then_some("fits no allowed machine type")
 }
 
 #[derive(Debug)]
@@ -223,10 +226,11 @@
                     let response = self.later();
                     return Some(self.finish(ticket, response));
                 }
-                if impossible(spec, &self.settings, flavors) {
+                if let Some(why) = impossible(spec, &self.settings, flavors) {
                     if !fresh {
                         return self.sync(ticket, state);
                     }
+                    tracing::info!(job = %id, team = spec.team, why, "refused for good");
                     return Some(self.finish(ticket, Response::empty(422)));
                 }
                 jobs::accept(spec, wall_ms())
@@ -329,4 +333,38 @@
             assert_eq!(at(Method::Get, path), Route::Unknown, "{path}");
         }
     }
+
+    /// Guests have neither guarantee nor limit; each of their jobs was once refused for good.
+    #[test]
+    fn a_team_without_a_limit_may_run_whatever_fits_a_machine() {
+        let text = r#"{"host_name":"n","listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
+            "external":{"cloud":"127.0.0.1:8","state":"127.0.0.1:9"},
+            "params":{"zones":["z"],"teams":[{"name":"t","cpus":2.0,"cpus_max":8.0},
+            {"name":"guest"}],"workers":{"report_s":2.0,"lease_s":14.0,"cancel_s":32.0},
+            "state":{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":12},
+            "cloud":{"rps":5.0,"list_lag_s":3.0},"resources":{"max_sockets":700}}}"#;
+        let settings = Settings::parse(text, None).unwrap();
+        let flavors = [Flavor {
+            name: "f".into(),
+            cpus: 16.0,
+            gpus: 0.0,
+            ram_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 0.5,
+            price: 1.0,
+            spot_price: 0.3,
+            boot_s: 20.0,
+            zones: vec!["z".into()],
+        }];
+        let judge = |team: &str, cpus: f64, tasks: u64| {
+            let (team, shape) = (team.to_owned(), Shape::Service);
+            let spec = JobSpec { team, cpus, shape, ..jobs::plain_spec("wk-1", tasks) };
+            impossible(&spec, &settings, &flavors)
+        };
+        assert_eq!(judge("guest", 4.0, 100_000), None);
+        assert_eq!(judge("guest", 17.0, 1), Some("fits no allowed machine type"));
+        assert_eq!(judge("t", 4.0, 2), None);
+        assert_eq!(judge("t", 4.0, 3), Some("beyond its team's limit"));
+        assert_eq!(judge("nobody", 1.0, 1), Some("unknown team"));
+    }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -120,7 +120,11 @@
         self.cpu <= room.cpu && self.gpu <= room.gpu && self.ram <= room.ram
     }
     pub fn plus(&self, other: &Amount) -> Amount {
-        Amount { cpu: self.cpu + other.cpu, gpu: self.gpu + other.gpu, ram: self.ram + other.ram }
+        Amount {
+            cpu: self.cpu.saturating_add(other.cpu),
+            gpu: self.gpu.saturating_add(other.gpu),
+            ram: self.ram.saturating_add(other.ram),
+        }
     }
     pub fn minus(&self, other: &Amount) -> Amount {
         Amount {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,8 +35,12 @@
 }
 
 impl Team {
+    /// The team's limit. Zero stands for no limit: guests come with neither guarantee nor limit,
+    /// and taking it for a limit of nothing refused every job of theirs for good.
     pub fn most(&self) -> Amount {
-        Amount { ram: u64::MAX, ..Amount::room(self.cpus_max, self.gpus_max, 0.0) }
+        let Amount { cpu, gpu, .. } = Amount::room(self.cpus_max, self.gpus_max, 0.0);
+        let limit = |most: u64| if most == 0 { u64::MAX } else { most };
+        Amount { cpu: limit(cpu), gpu: limit(gpu), ram: u64::MAX }
     }
     pub fn guarantee(&self) -> Amount {
         Amount { ram: u64::MAX, ..Amount::room(self.cpus, self.gpus, 0.0) }
