Failures are weighed: a mistaken job is tried now and then, a good machine keeps its place

Cause: two jobs submitted with a mistake made every machine on which both failed count as faulty. Now a failure counts against a machine only once its job does well elsewhere; a job that fails on three machines and does well nowhere is tried one task at a time with growing pauses, without renting or stopping others, and goes on at once when a task runs. The log tells what tasks wait for.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -132,8 +132,14 @@
 pub const RETRY_FIRST: Duration = Duration::from_secs(1);
 /// Longest such pause.
 pub const RETRY_MOST: Duration = Duration::from_secs(30);
-/// Count. Different jobs that must fail on one machine before it is given back.
+/// Count. Different jobs that do well elsewhere and must fail on one machine before it is given
+/// back; a job also avoids so many machines on which it failed.
 pub const FAULTY_JOBS: usize = 2;
+/// Count. Machines on which a job fails, without having done well anywhere, before the failures
+/// are taken for its own: two faulty machines at a time are rare enough.
+pub const MISTAKEN_MACHINES: usize = 3;
+/// A task that ran this long shows that its job does well: mistakes show at once.
+pub const PROVEN_AFTER: Duration = Duration::from_secs(10);
 /// Micro-units in one unit of an amount: resources are counted in whole millionths.
 pub const MICRO: f64 = 1e6;
 /// Count. PROTOCOL's cap on the tasks of a job.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -116,7 +116,10 @@
     pub images: Vec<Arc<str>>,
     /// The same as placement numbers them, as far as it has looked.
     pub image_ids: Vec<u32>,
+    /// Jobs that failed here, whoever's fault it was.
     pub failed_jobs: HashSet<crate::ids::JobId>,
+    /// Enough jobs failed here that do well elsewhere.
+    pub faulty: bool,
     pub direct_in_flight: bool,
     pub direct_after: Instant,
     /// A start or a stop may be owed to it. Among hundreds of machines few have any, and each
@@ -161,6 +164,7 @@
             images: Vec::new(),
             image_ids: Vec::new(),
             failed_jobs: HashSet::new(),
+            faulty: false,
             direct_in_flight: false,
             direct_after: now,
             owed: true,
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -5,6 +5,7 @@
 
 use crate::cloud::{CloudCore, CloudEvent, Kind};
 use crate::constants::*;
+use crate::faults::Evidence;
 use crate::fleet::{Entry, Fact, Heard, Life, Machine, Stop};
 use crate::ids::{Amount, Attempt, JobId, MachineId, NodeName, Revision, TaskId, Token};
 use crate::jobs::{self, Job, JobBody, LiveJob};
@@ -49,8 +50,8 @@
     completing: BTreeSet<u32>,
     /// Not before, and how often it failed.
     retry: BTreeMap<u32, (Instant, u32)>,
-    /// Machines on which its tasks failed.
-    failed_on: Vec<MachineId>,
+    /// Whether its failures are its own fault.
+    evidence: Evidence,
     /// No task below is pending.
     cursor: u32,
 }
@@ -83,6 +84,8 @@
     consolidate_at: Instant,
     /// When each zone was last found silent.
     zone_silent_at: Vec<Option<Instant>>,
+    /// Tasks that the last planning round left waiting, by cause: for the log.
+    waits: BTreeMap<&'static str, u64>,
     pub grants: Grants,
     pub direct: Vec<(MachineId, SocketAddr, Direct)>,
     pub last_report: Instant,
@@ -122,6 +125,7 @@
             plan_wanted: true,
             reserved: HashSet::new(),
             consolidate_at: now + MOVE_AFTER,
+            waits: BTreeMap::new(),
             direct: Vec::new(),
             last_report: now,
             starts: 0,
@@ -348,6 +352,7 @@
             if !live.is_done(task.index, self.settings.chunk_tasks()) {
                 let work = self.work.entry(task.job.clone()).or_default();
                 work.completing.insert(task.index);
+                self.did_well(&task.job, now);
                 return;
             }
         }
@@ -375,8 +380,11 @@
             };
             if why == "error" {
                 machine.failed_jobs.insert(task.job.clone());
-                if !work.failed_on.contains(id) {
-                    work.failed_on.push(id.clone());
+                let before = work.evidence.mistaken();
+                work.evidence.failed(id, now);
+                if work.evidence.mistaken() && !before {
+                    let machines = work.evidence.failed_on.len();
+                    tracing::info!(job = %task.job, machines, "fails everywhere, tried now and then");
                 }
             }
             let count = if why == "halted" { failures } else { failures + 1 };
@@ -385,6 +393,42 @@
         self.release(&task, attempt);
     }
 
+    /// A task ended well or ran for a while: a job that seemed mistaken goes on at once.
+    fn did_well(&mut self, id: &JobId, now: Instant) {
+        let Some(work) = self.work.get_mut(id) else { return };
+        if work.evidence.did_well() {
+            tracing::info!(job = %id, "does well after all");
+            work.retry.values_mut().for_each(|(at, _)| *at = (*at).min(now));
+            self.plan_wanted = true;
+        }
+    }
+
+    /// Looks whether jobs that failed have tasks by now that ran for a while, and which machines
+    /// failed jobs that do well elsewhere. A job that is done did, one cancelled tells nothing.
+    fn weigh_failures(&mut self, cache: &Cache, now: Instant) {
+        let ran = |(machine, attempt): &(MachineId, Attempt), job: &JobId, index: u32| {
+            let entry = self.machines.get(machine)?;
+            let entry = entry.entries.get(&(TaskId { job: job.clone(), index }, *attempt))?;
+            (entry.state == TaskState::Running && now >= entry.running_since? + PROVEN_AFTER)
+                .then_some(())
+        };
+        let open = self.work.iter().filter(|(_, work)| work.evidence.open());
+        let proven: Vec<JobId> = open
+            .filter(|(id, work)| work.placed.iter().any(|(n, at)| ran(at, id, *n).is_some()))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in proven {
+            self.did_well(&id, now);
+        }
+        for machine in self.machines.values_mut().filter(|m| m.failed_jobs.len() >= FAULTY_JOBS) {
+            let sound = |id: &&JobId| match cache.jobs.get(id).map(|job| &job.body) {
+                Some(JobBody::Over { cancelled, .. }) => !cancelled,
+                _ => self.work.get(*id).is_some_and(|work| work.evidence.sound()),
+            };
+            machine.faulty = machine.failed_jobs.iter().filter(sound).count() >= FAULTY_JOBS;
+        }
+    }
+
     /// A spot machine that will be taken: what can save does, what cannot finish moves.
     fn drain_if_recalled(&mut self, id: &MachineId, cache: &Cache, now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else { return };
@@ -764,6 +808,7 @@
     fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let lease = self.settings.worker_lease();
         let cut_off = self.cut_off_zones(now);
+        self.weigh_failures(cache, now);
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
         for machine in self.machines.values_mut() {
@@ -795,10 +840,7 @@
                 tracing::info!(machine = %machine.id, "never came up");
                 machine.life = Life::Returning;
             }
-            if machine.life == Life::Up
-                && machine.failed_jobs.len() >= FAULTY_JOBS
-                && machine.is_empty()
-            {
+            if machine.life == Life::Up && machine.faulty && machine.is_empty() {
                 tracing::info!(machine = %machine.id, "faulty, given back");
                 machine.life = Life::Returning;
             }
@@ -999,7 +1041,7 @@
                 && age < Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
             let up = machine.life == Life::Up
                 && machine.recall_at.is_none()
-                && machine.failed_jobs.len() < FAULTY_JOBS
+                && !machine.faulty
                 && machine.heard.is_some()
                 && machine.silent_for(now) < quiet;
             let coming = machine.life == Life::Up && !machine.confirmed;
@@ -1117,6 +1159,8 @@
                     && flavors.as_ref().is_none_or(|list| list.contains(flavor))
             })
         {
+            let unseen = job.spec.tasks - job.done_count() - work.placed.len() as u64;
+            *self.waits.entry("unconfirmed machine").or_default() += unseen;
             return None;
         }
         if spec.shape == Shape::Gang && !work.placed.is_empty() {
@@ -1124,6 +1168,16 @@
             // others end by themselves and all start again under a new attempt.
             return None;
         }
+        let most = match work.evidence.allows(work.placed.len(), now) {
+            Ok(allowed) => most.min(allowed),
+            Err(at) => {
+                let waiting = job.spec.tasks - job.done_count() - work.placed.len() as u64;
+                *self.waits.entry("fails everywhere").or_default() += waiting;
+                *wake = wake.iter().chain(&at).min().copied();
+                return None;
+            }
+        };
+        let trial = work.evidence.mistaken();
         let chunk = self.settings.chunk_tasks();
         let mut waiting = Vec::new();
         let mut cursor = None;
@@ -1138,11 +1192,16 @@
             cursor.get_or_insert(task);
             match work.retry.get(&task) {
                 Some((at, _)) if *at > now => {
+                    *self.waits.entry("pause after a failure").or_default() += 1;
                     *wake = Some(wake.map_or(*at, |w: Instant| w.min(*at)));
                 }
                 _ => waiting.push(task),
             }
         }
+        if trial && waiting.is_empty() {
+            // The job's own pause is over; that of its next task does not matter.
+            waiting.extend(cursor.filter(|_| most > 0));
+        }
         let work = self.work.get_mut(id)?;
         work.cursor = cursor.unwrap_or(job.tasks());
         if waiting.is_empty() {
@@ -1161,12 +1220,8 @@
             .iter()
             .map(|n| if spec.spread { half.saturating_sub(*n) } else { u32::MAX })
             .collect();
-        let avoid = if work.failed_on.len() > FAULTY_JOBS {
-            Vec::new()
-        } else {
-            let index = |id| self.machines.get(id).map(|m: &Machine| m.index);
-            work.failed_on.iter().filter_map(index).collect()
-        };
+        let index = |id| self.machines.get(id).map(|m: &Machine| m.index);
+        let avoid = work.evidence.avoided().iter().filter_map(index).collect();
         let ask = Ask {
             team,
             urgency: spec.urgency,
@@ -1181,6 +1236,8 @@
             image: Self::image_id(&mut self.images, &spec.image),
             avoid,
             gang: spec.shape == Shape::Gang,
+            // A trial of a job that fails everywhere takes what room there is.
+            rents: !trial,
         };
         Some((ask, waiting))
     }
@@ -1225,6 +1282,7 @@
         let mut sources: Vec<(JobId, Vec<u32>)> = Vec::new();
         let mut budget = PLAN_TASKS_MAX;
         let mut wake: Option<Instant> = None;
+        self.waits.clear();
         for Claim { age: at, .. } in order {
             if budget == 0 {
                 self.plan_wanted = true;
@@ -1232,7 +1290,12 @@
             }
             let (id, job) = live[at];
             let team = self.teams[&job.spec.team];
-            let most = placement::copies(&team_room[team], &job.need).min(budget as u64) as usize;
+            let within = placement::copies(&team_room[team], &job.need);
+            let waiting = job.spec.tasks - job.done_count() - self.work[id].placed.len() as u64;
+            if within < waiting {
+                *self.waits.entry("team limit").or_default() += waiting - within;
+            }
+            let most = within.min(budget as u64) as usize;
             if let Some((ask, tasks)) = self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now)
             {
                 budget -= tasks.len();
@@ -1278,9 +1341,16 @@
             .take(real_asks)
             .cloned()
             .enumerate()
-            .filter(|(_, ask)| ask.urgency <= Urgency::High)
+            .filter(|(_, ask)| ask.urgency <= Urgency::High && ask.rents)
             .collect();
         let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap });
+        for (why, left) in [("machine to come", &plan.booked), ("no room", &plan.short)] {
+            let real = left.iter().filter(|(ask, _)| *ask < real_asks);
+            let count: u32 = real.map(|(_, count)| count).sum();
+            if count > 0 {
+                self.waits.insert(why, u64::from(count));
+            }
+        }
 
         self.start_planned(&plan.places, &names, &mut sources, &mut urgent, cache, now);
         let unplaced = urgent.into_iter().map(|(n, ask)| (sources[n].1.len(), ask)).collect();
@@ -1352,6 +1422,7 @@
                 && machine.confirmed
                 && machine.recorded
                 && machine.recall_at.is_none()
+                && !machine.faulty
                 && machine.silent_for(now) < quiet
                 && placement::allowed(ask, machine.zone, machine.flavor, machine.spot)
                 && ask.zone_room[machine.zone] > 0
@@ -1566,6 +1637,7 @@
                 image: u32::MAX,
                 avoid: Vec::new(),
                 gang: false,
+                rents: true,
             });
         }
     }
@@ -1689,6 +1761,7 @@
         }
         tracing::info!(
             running_waiting = ?by_class,
+            waits_for = ?self.waits,
             machines = ?by_kind,
             free_cpus = free.cpu as f64 / MICRO,
             starts = self.starts,
@@ -1859,4 +1932,76 @@
         }
         assert_eq!(bench.foreman.starts, 4);
     }
+
+    /// What the worker shows of tasks that it was told to start and that all failed.
+    fn failed(orders: &[Order]) -> Vec<ReportedTask> {
+        let mut tasks = shown(orders, TaskState::Exited);
+        tasks.iter_mut().for_each(|task| task.why = Some("error".into()));
+        tasks
+    }
+
+    /// Jobs submitted with a mistake once cost 247 good machines their place, and were tried 2,354
+    /// times on them.
+    #[test]
+    fn mistaken_jobs_cost_no_machine_its_place_and_are_tried_seldom() {
+        let mut bench = Bench::new();
+        let machines = ["i-1", "i-2", "i-3", "i-4"];
+        machines.iter().for_each(|machine| drop(bench.report(machine, vec![])));
+        for id in ["wk-1", "wk-2", "wk-3"] {
+            bench.job(id, Shape::Array, 16);
+        }
+        for _ in 0..400 {
+            bench.pass(PLAN_EVERY);
+            for machine in machines {
+                let orders = bench.report(machine, vec![]);
+                bench.report(machine, failed(&orders));
+            }
+        }
+        assert!(bench.foreman.machines.values().all(|m| !m.faulty));
+        assert!((48..80).contains(&bench.foreman.starts), "{}", bench.foreman.starts);
+        // One that does well after all goes on with all its tasks at once.
+        let before = bench.foreman.starts;
+        let mut running = Vec::new();
+        while running.is_empty() {
+            bench.pass(PLAN_EVERY);
+            running = shown(&bench.report("i-1", vec![]), TaskState::Running);
+        }
+        bench.report("i-1", running.clone());
+        bench.pass(PROVEN_AFTER + PLAN_EVERY);
+        bench.report("i-1", running);
+        for _ in 0..10 {
+            machines[1..].iter().for_each(|machine| drop(bench.report(machine, vec![])));
+            bench.pass(PLAN_EVERY);
+        }
+        assert!(bench.foreman.starts >= before + 15, "{} {before}", bench.foreman.starts);
+    }
+
+    /// While mistaken jobs are about, a faulty machine is still found: by what does well elsewhere.
+    #[test]
+    fn a_faulty_machine_is_found_by_jobs_that_do_well_elsewhere() {
+        let mut bench = Bench::new();
+        for (id, tasks) in [("wk-1", 8), ("wk-2", 24), ("wk-3", 8)] {
+            bench.job(id, Shape::Array, tasks);
+        }
+        let mistaken = |task: &ReportedTask| task.task.job == JobId::new("wk-3");
+        let mut held: BTreeMap<&str, Vec<ReportedTask>> = BTreeMap::new();
+        for step in 0..200 {
+            bench.pass(PLAN_EVERY);
+            for machine in ["i-1", "i-2", "i-3", "i-4"] {
+                let tasks = held.remove(machine).unwrap_or_default();
+                let orders = bench.report(machine, tasks.clone());
+                let mut tasks = [tasks, shown(&orders, TaskState::Running)].concat();
+                tasks.retain(|task| task.state == TaskState::Running);
+                for task in tasks.iter_mut().filter(|task| machine == "i-1" || mistaken(task)) {
+                    (task.state, task.why) = (TaskState::Exited, Some("error".into()));
+                }
+                held.insert(machine, tasks);
+            }
+            if step == 50 {
+                assert!(bench.foreman.machines.values().all(|m| !m.faulty));
+            }
+        }
+        let faulty: Vec<bool> = bench.foreman.machines.values().map(|m| m.faulty).collect();
+        assert_eq!(faulty, [true, false, false, false]);
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cloud;
 pub mod constants;
 pub mod election;
+pub mod faults;
 pub mod fleet;
 pub mod foreman;
 pub mod http;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -91,6 +91,8 @@
     pub avoid: Vec<u64>,
     /// All of them start at once, or none does.
     pub gang: bool,
+    /// Whether machines are rented for it.
+    pub rents: bool,
 }
 
 /// A kind of machine that could be rented.
@@ -262,7 +264,7 @@
                 }
             }
         }
-        while left > 0 && ask.need.fits(&self.team_room[ask.team]) {
+        while left > 0 && ask.rents && ask.need.fits(&self.team_room[ask.team]) {
             if ask.basket == Basket::Heavy && heavy >= cap {
                 break;
             }
@@ -511,6 +513,7 @@
                     image: random.random_range(0..3),
                     avoid: (0..machines).filter(|_| random.random_range(0..9) == 0).collect(),
                     gang: random.random_range(0..4) == 0,
+                    rents: true,
                 }
             })
             .collect();
@@ -547,6 +550,7 @@
             image: 0,
             avoid: vec![],
             gang: false,
+            rents: true,
         }
     }
 
