A leader gives up only for workers that report elsewhere; a process that stood still knows it

Now beats tell when a worker last reported to their sender, also by way of the store, and a leader gives up only when others were heard after it should have been; a new one waits for the workers that still ask its predecessor. What a process finds in its queues after standing still is not news.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -73,6 +73,14 @@
 pub const MESH_EVERY: Duration = Duration::from_millis(500);
 /// Upper bound of the random pause before a campaign.
 pub const CAMPAIGN_JITTER: Duration = Duration::from_millis(120);
+/// How long a worker that another controller sends to the leader takes to report there: PROTOCOL's
+/// half second and its connection, with a resend.
+pub const REDIRECT_MOST: Duration = Duration::from_millis(1200);
+/// PROTOCOL's pause before a worker whose controller doesn't answer tries the next, and its timeout.
+pub const WORKER_GIVES_UP: Duration = Duration::from_millis(5000);
+/// A leader that has had no report for this long, or half a report interval, gives up if workers
+/// report elsewhere; a new one waits as well until those who asked its predecessor give that up.
+pub const RESIGN_AFTER: Duration = Duration::from_millis(2000);
 /// A leader that gave up for want of workers does not campaign for this long.
 pub const RESIGN_REST: Duration = Duration::from_secs(15);
 
@@ -118,6 +126,9 @@
 pub const TICK_MOST: Duration = Duration::from_millis(200);
 /// Shortest such pause.
 pub const TICK_LEAST: Duration = Duration::from_millis(10);
+/// A process that handled nothing for this long, five of the pauses above, stood still; for as long
+/// again what it handles may have waited for it.
+pub const STOOD_STILL: Duration = Duration::from_millis(1000);
 /// Pause between two looks at what silence and age do to machines.
 pub const WATCH_EVERY: Duration = Duration::from_millis(200);
 /// Longest pause between two planning rounds when nothing asks for one.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -89,6 +89,7 @@
     pub grants: Grants,
     pub direct: Vec<(MachineId, SocketAddr, Direct)>,
     pub last_report: Instant,
+    pub reports: u64,
     pub starts: u64,
     pub stops: u64,
 }
@@ -128,6 +129,7 @@
             waits: BTreeMap::new(),
             direct: Vec::new(),
             last_report: now,
+            reports: 0,
             starts: 0,
             stops: 0,
         };
@@ -190,6 +192,7 @@
     /// A report on `/hello`; the answer renews the worker's lease. None: a later leader exists.
     pub fn on_report(&mut self, report: &Report, cache: &Cache, now: Instant) -> Option<Orders> {
         self.last_report = now;
+        self.reports += 1;
         if self.buried.contains(&report.machine) {
             // Held back by the network since before the machine was deleted.
             return Some(self.answer(Vec::new()));
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -28,6 +28,8 @@
         ack: (Token, u64),
         up_ms: u64,
         vouched: Vec<(MachineId, u64)>,
+        /// How many milliseconds ago a worker last reported to its sender.
+        worker_ms: Option<u64>,
     },
     /// A leader's leave to answer reports on its behalf where it is out of reach, for all machines
     /// but those barred, and for those lent even where it is in reach.
--- a/src/node.rs
+++ b/src/node.rs
@@ -50,6 +50,11 @@
     state_lost: bool,
 }
 
+/// Milliseconds since then.
+fn age_ms(at: Instant, now: Instant) -> u64 {
+    now.saturating_duration_since(at).as_millis() as u64
+}
+
 /// Ticket of the sync that a new leader does before it looks at anything.
 const TAKE_OVER: u64 = 0;
 /// Ticket of the probe that shows whether the store still answers.
@@ -65,8 +70,14 @@
     pub foreman: Option<Foreman>,
     api: Api,
     peers: HashMap<NodeName, PeerView>,
+    /// When a worker last reported here, and to any other controller as far as they told.
+    worker_here: Option<Instant>,
+    worker_elsewhere: Option<Instant>,
     voucher: Voucher,
     started: Instant,
+    /// When anything was handled last, and when this process last went on after standing still.
+    handled: Instant,
+    woke: Instant,
     relay_at: Instant,
     mesh_at: Instant,
     mesh_seq: u64,
@@ -91,8 +102,12 @@
             foreman: None,
             api: Api::new(settings.clone())?,
             peers: HashMap::new(),
+            worker_here: None,
+            worker_elsewhere: None,
             voucher: Voucher::default(),
             started: now,
+            handled: now,
+            woke: now,
             relay_at: now,
             mesh_at: now,
             // Answers to a former incarnation of this process, delivered late, match no question.
@@ -109,6 +124,14 @@
     }
 
     pub fn handle(&mut self, event: Event, now: Instant) {
+        // Ticks come several times a second, so this process stood still: what it finds in its
+        // queues is old, and the silence that it slept through proves nothing about anyone.
+        let slept = now.saturating_duration_since(self.handled);
+        if slept > STOOD_STILL {
+            tracing::info!(slept_ms = slept.as_millis() as u64, "stood still");
+            self.woke = now;
+        }
+        self.handled = now;
         match event {
             Event::Http(ticket, request) => self.on_http(ticket, request, now),
             Event::State(id, reply) => self.state.on_reply(id, reply, now),
@@ -166,6 +189,9 @@
 
     fn on_hello(&mut self, body: &[u8], now: Instant) -> Response {
         let Ok(report) = wire::decode::<Report>(body) else { return Response::empty(400) };
+        if now > self.woke + STOOD_STILL {
+            self.worker_here = Some(now);
+        }
         // Checked anew for each answer: time has passed since the last look.
         if self.election.may_act(now)
             && let Some(foreman) = &mut self.foreman
@@ -256,7 +282,18 @@
     /// A message of another controller, straight from it (`direct`) or by way of the store.
     fn on_mesh(&mut self, message: MeshMessage, direct: bool, now: Instant) {
         match message {
-            MeshMessage::Beat { from, seq, leading, state_lost, ack, up_ms, vouched } => {
+            MeshMessage::Beat {
+                from,
+                seq,
+                leading,
+                state_lost,
+                ack,
+                up_ms,
+                vouched,
+                worker_ms,
+            } => {
+                let heard = worker_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
+                self.worker_elsewhere = self.worker_elsewhere.max(heard);
                 if direct {
                     self.peers.insert(from.clone(), PeerView { heard: now, state_lost });
                 }
@@ -374,8 +411,9 @@
                 leading: self.foreman.as_ref().and(self.election.token()),
                 state_lost: self.state.lost(now),
                 ack: self.voucher.ack(),
-                up_ms: now.saturating_duration_since(self.started).as_millis() as u64,
+                up_ms: age_ms(self.started, now),
                 vouched: self.voucher.vouched(now),
+                worker_ms: self.worker_here.map(|at| age_ms(at, now)),
             };
             self.broadcast(&beat);
             self.relay_beat(&beat, now);
@@ -405,22 +443,24 @@
         self.resign_if_cut_off(now);
     }
 
-    /// A leader that no worker reaches hands over, if it knows of workers that should report.
+    /// A leader that no worker reaches hands over, if workers reach another controller. Silence
+    /// alone is no reason: where the others are down, workers take seconds to find the one left,
+    /// and once nobody led for so long that every lease ran out.
     fn resign_if_cut_off(&mut self, now: Instant) {
         let Some(foreman) = &self.foreman else { return };
-        let every = self.settings.report_every();
         let known = foreman.machines.values().filter(|m| m.up_since.is_some() || m.recorded);
         let known = known.count() as u32;
-        // Sooner if no other controller is heard either.
-        let deaf =
-            self.peers.values().all(|peer| now.saturating_duration_since(peer.heard) > VOUCH_AFTER);
-        let patience = if deaf { every.mul_f64(1.3) } else { every * 2 };
-        if known >= 3
-            && !self.settings.platform.others.is_empty()
-            && !self.state.lost(now)
-            && now.saturating_duration_since(foreman.last_report) > patience
-        {
-            tracing::info!(known, "no worker reports here, giving up leadership");
+        let silence = now.saturating_duration_since(foreman.last_report.max(self.woke));
+        let patience = if foreman.reports > 0 {
+            RESIGN_AFTER.max(self.settings.report_every() / 2)
+        } else {
+            RESIGN_AFTER + WORKER_GIVES_UP
+        };
+        let elsewhere = self.worker_elsewhere;
+        // Whom another controller hears it sends here at once.
+        let missing = elsewhere.is_some_and(|at| at > foreman.last_report + REDIRECT_MOST);
+        if known >= 3 && !self.state.lost(now) && missing && silence > patience {
+            tracing::info!(known, "workers report elsewhere and not here, giving up leadership");
             self.step_down(now);
         }
     }
