--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -68,7 +68,8 @@
     Fault(Fault),
     User(u64),
     UserAsks(usize, u64, Request),
-    UserAnswer(u64, Response),
+    /// To the job's user, on the request made at that time.
+    UserAnswer(u64, u64, Response),
     Restart(usize),
     LeaseCheck,
 }
@@ -99,6 +100,13 @@
     SlowNode(usize, bool),
     /// Tasks started meanwhile run three times as long.
     SlowMachines(bool),
+    /// The node stands still, between two events or between an event and its effects, while its
+    /// clock runs on.
+    Stand(usize, bool),
+    /// The node is switched off for a minute: silent, not refusing.
+    Down(usize),
+    /// Users ask eight times as often.
+    Polls(bool),
 }
 
 #[derive(Default)]
@@ -145,6 +153,8 @@
     abort_at: Option<u64>,
     told_cancelled: Option<u64>,
     told_done: bool,
+    /// Submitted with a mistake: it fails wherever it runs.
+    broken: bool,
     /// When it asked last, and for what: 0 submit, 1 poll, 2 abort.
     asked: Option<(u64, u8)>,
     last_good: u64,
@@ -177,6 +187,12 @@
     bad_boots: bool,
     no_mesh: bool,
     slow_machines: bool,
+    polls: bool,
+    down: [bool; NODES],
+    standing: [bool; NODES],
+    /// What waits for a node that stands still, and effects that it had not got round to.
+    asleep: Vec<Due>,
+    unsent: Vec<(usize, Vec<Effect>)>,
     held: Vec<Due>,
     broken: Vec<String>,
     starts: u64,
@@ -184,7 +200,7 @@
 
 enum Ticket {
     Hello(MachineId, u64),
-    User(u64),
+    User(u64, u64),
 }
 
 impl World {
@@ -216,6 +232,11 @@
             bad_boots: false,
             no_mesh: false,
             slow_machines: false,
+            polls: false,
+            down: [false; NODES],
+            standing: [false; NODES],
+            asleep: Vec::new(),
+            unsent: Vec::new(),
             held: Vec::new(),
             broken: Vec::new(),
             starts: 0,
@@ -275,6 +296,20 @@
     }
 
     fn step(&mut self, due: Due) {
+        if let Due::Tick(node)
+        | Due::Node(node, ..)
+        | Due::Hello(node, ..)
+        | Due::UserAsks(node, ..) = &due
+            && self.standing[*node]
+        {
+            let node = *node;
+            if self.unsent.iter().all(|(other, _)| *other != node) && self.random.random() {
+                // It stops between this event and its effects.
+                self.unsent.push((node, Vec::new()));
+            } else {
+                return self.asleep.push(due);
+            }
+        }
         match due {
             Due::Tick(node) => {
                 self.tell(node, Event::Tick);
@@ -297,6 +332,9 @@
                 if self.apart(node, self.workers[&machine].zone) {
                     return;
                 }
+                if self.down[node] {
+                    return;
+                }
                 if self.nodes[node].is_none() {
                     return self.soon(Due::HelloAnswer(machine, id, Response::empty(599)));
                 }
@@ -309,17 +347,19 @@
             Due::Fault(fault) => self.fault(fault),
             Due::User(job) => self.user(job),
             Due::UserAsks(node, job, request) => {
-                if self.cut_node[node] {
+                if self.cut_node[node] || self.down[node] {
                     return;
                 }
+                let asked = self.jobs[&job].asked.map_or(0, |(at, _)| at);
                 if self.nodes[node].is_none() {
-                    return self.soon(Due::UserAnswer(job, Response::empty(599)));
+                    return self.soon(Due::UserAnswer(job, asked, Response::empty(599)));
                 }
-                let ticket = self.ticket(node, Ticket::User(job));
+                let ticket = self.ticket(node, Ticket::User(job, asked));
                 self.tell(node, Event::Http(ticket, request));
             }
-            Due::UserAnswer(job, response) => self.user_answer(job, &response),
+            Due::UserAnswer(job, asked, response) => self.user_answer(job, asked, &response),
             Due::Restart(node) => {
+                self.down[node] = false;
                 let seed = self.random.random();
                 self.nodes[node] = Node::new(settings(node), seed, self.now());
             }
@@ -341,6 +381,13 @@
         let Some(core) = &mut self.nodes[node] else { return };
         core.handle(event, now);
         let effects = std::mem::take(&mut core.out);
+        match self.unsent.iter_mut().find(|(other, _)| *other == node) {
+            Some((_, unsent)) => unsent.extend(effects),
+            None => self.carry_out(node, effects),
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
         let incarnation = self.incarnation[node];
         for effect in effects {
             match effect {
@@ -350,8 +397,8 @@
                     {
                         self.soon(Due::HelloAnswer(machine, id, response));
                     }
-                    Some(Ticket::User(job)) if !self.cut_node[node] => {
-                        self.soon(Due::UserAnswer(job, response));
+                    Some(Ticket::User(job, asked)) if !self.cut_node[node] => {
+                        self.soon(Due::UserAnswer(job, asked, response));
                     }
                     _ => {}
                 },
@@ -801,7 +848,7 @@
         let Some(job) = self.jobs.get(&number) else {
             return self.break_rule(format!("{task} is of no job"));
         };
-        let spec = job.spec.clone();
+        let (spec, broken) = (job.spec.clone(), job.broken);
         let late = job.told_cancelled.is_some_and(|at| self.t > at + CANCEL_MS);
         let t = self.t;
         let factor = if self.slow_machines { 3 } else { 1 };
@@ -823,6 +870,10 @@
             task.clone(),
             Running { attempt, state: TaskState::Fetching, why: None, ready_at, ends_at },
         );
+        if broken {
+            let running = worker.tasks.get_mut(&task).unwrap();
+            (running.state, running.why) = (TaskState::Exited, Some("error".into()));
+        }
         worker.changed = true;
         self.starts += 1;
         // The rules.
@@ -892,6 +943,7 @@
             abort_at,
             told_cancelled: None,
             told_done: false,
+            broken: false,
             asked: None,
             last_good: t,
         };
@@ -926,14 +978,15 @@
         self.jobs.get_mut(&number).unwrap().asked = Some((t, kind));
         let node = self.random.random_range(0..NODES);
         self.soon(Due::UserAsks(node, number, request));
-        let wait = if over { 20_000 } else { 1500 };
+        let wait = if over { 20_000 } else { 1500 } / if self.polls { 8 } else { 1 };
         self.at(t + wait, Due::User(number));
     }
 
-    fn user_answer(&mut self, number: u64, response: &Response) {
+    fn user_answer(&mut self, number: u64, asked: u64, response: &Response) {
         let t = self.t;
         let job = self.jobs.get_mut(&number).unwrap();
-        let Some((_, kind)) = job.asked.take() else { return };
+        // An answer to a request that was given up finds its connection closed.
+        let Some((_, kind)) = job.asked.take_if(|(at, _)| *at == asked) else { return };
         if matches!(response.status, 503 | 599) {
             return;
         }
@@ -998,6 +1051,27 @@
             Fault::Mesh(on) => self.no_mesh = on,
             Fault::SlowNode(node, on) => self.slow_node = on.then_some(node),
             Fault::SlowMachines(on) => self.slow_machines = on,
+            Fault::Polls(on) => self.polls = on,
+            Fault::Stand(node, on) => {
+                self.standing[node] = on;
+                let woken = |(other, _): &mut (usize, _)| !on && *other == node;
+                for (node, effects) in self.unsent.extract_if(.., woken).collect::<Vec<_>>() {
+                    if self.nodes[node].is_some() {
+                        self.carry_out(node, effects);
+                    }
+                }
+                // Whatever queued up comes at once, in order; what is for others waits on.
+                for due in std::mem::take(&mut self.asleep) {
+                    self.step(due);
+                }
+            }
+            Fault::Down(node) => {
+                self.nodes[node] = None;
+                self.incarnation[node] += 1;
+                self.tickets[node].clear();
+                self.down[node] = true;
+                self.at(self.t + 60_000, Due::Restart(node));
+            }
             Fault::TakeSpot => {
                 for worker in self.workers.values_mut().filter(|w| w.spot) {
                     worker.gone = true;
@@ -1205,6 +1279,84 @@
     }
 }
 
+/// Two of three controllers stand still or are switched off: the one left leads, and waits for the
+/// workers that still ask the others. It once gave up for want of reports, and every lease ran out.
+#[test]
+fn the_only_controller_left_leads_on() {
+    for seed in 200..208 {
+        let mut world = World::new(seed);
+        world.submit_at(3000, 0, true, None);
+        world.run(30_000);
+        assert_eq!(world.running(0), 4);
+        let off: [fn(usize) -> Fault; 2] = [|node| Fault::Stand(node, true), Fault::Down];
+        let leads = |node: &Option<Node>| node.as_ref().is_some_and(|n| n.foreman.is_some());
+        let leader = world.nodes.iter().position(leads).unwrap();
+        for node in [leader, (leader + 1) % NODES] {
+            world.fault(off[seed as usize % 2](node));
+            world.at(52_000, Due::Fault(Fault::Stand(node, false)));
+        }
+        world.run(120_000);
+        let lost = world.workers.values().filter(|w| w.session > 1).count();
+        assert_eq!((world.running(0), lost), (4, 0), "seed {seed}");
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+    }
+}
+
+/// Controllers stand still for less and for more than each lease, the leader among them, in the
+/// midst of outages, cuts and cancellations.
+#[test]
+fn controllers_stand_still_and_act_on_no_moment_that_has_passed() {
+    let others: [fn(usize, bool) -> Fault; 5] = [
+        |_, on| Fault::Polls(on),
+        |_, on| Fault::Outage(on),
+        |_, on| Fault::CutZones(on),
+        Fault::CutNode,
+        Fault::Refused,
+    ];
+    for seed in 210..240 {
+        let random = &mut StdRng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        let mut at = 12_000;
+        while at < 90_000 {
+            let node = random.random_range(0..NODES);
+            let ms = [700, 1500, 2500, 4000, 9000, 16_000, 30_000][random.random_range(0..7)];
+            faults.push((at, Fault::Stand(node, true)));
+            faults.push((at + ms, Fault::Stand(node, false)));
+            at += ms + random.random_range(500..9000);
+        }
+        let other = others[seed as usize % 5];
+        let at = random.random_range(15_000..70_000);
+        let node = random.random_range(0..NODES);
+        faults.push((at, other(node, true)));
+        faults.push((at + random.random_range(5000..20_000), other(node, false)));
+        if seed >= 225 {
+            faults.push((random.random_range(20_000..60_000), Fault::Down(node)));
+        }
+        World::day(seed, &faults);
+    }
+}
+
+/// Jobs with a mistake among the others: nobody else notices, and they are never over before
+/// their user cancels them.
+#[test]
+fn mistaken_jobs_among_others() {
+    for seed in 240..246 {
+        let mut world = World::new(seed);
+        for n in 0..16 {
+            let mistaken = n % 4 == 1;
+            world.submit_at(3000 + n * 1500, n, n % 5 == 4, mistaken.then_some(70_000));
+            world.jobs.get_mut(&n).unwrap().broken = mistaken;
+        }
+        world.at(30_000, Due::Fault(Fault::Crash(seed as usize % NODES)));
+        world.run(150_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        let over = |job: &UserJob| job.told_done || job.told_cancelled.is_some();
+        let array = |job: &&UserJob| job.spec.shape == Shape::Array;
+        assert!(world.jobs.values().filter(array).all(over), "seed {seed}");
+        assert!(world.starts < 400, "seed {seed}: {}", world.starts);
+    }
+}
+
 #[test]
 fn a_burst_of_jobs_is_served_within_its_team_s_limit() {
     for seed in 120..124 {
