--- a/src/http.rs
+++ b/src/http.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Method {
@@ -373,7 +373,7 @@
 struct Call {
     address: SocketAddr,
     request: Request,
-    within: Duration,
+    until: Instant,
     reply: oneshot::Sender<Result<Response, CallError>>,
 }
 
@@ -472,7 +472,7 @@
                         let back = back.clone();
                         tokio::spawn(async move {
                             let address = call.address;
-                            let outcome = exchange(kept, address, &call.request, call.within).await;
+                            let outcome = exchange(kept, address, &call.request, call.until).await;
                             let result = outcome.map(|(response, stream)| {
                                 if let (Some(stream), Some(back)) = (stream, back.upgrade()) {
                                     let _ = back.send(PoolMessage::Idle(address, stream));
@@ -488,14 +488,16 @@
         Client { to }
     }
 
+    /// Calls, until a time that counts from when the call was decided: one that this process got
+    /// round to only later, after standing still, is not sent any more.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: Request,
-        within: Duration,
+        until: Instant,
     ) -> Result<Response, CallError> {
         let (reply, answer) = oneshot::channel();
-        let call = Call { address, request, within, reply };
+        let call = Call { address, request, until, reply };
         self.to.send(PoolMessage::Call(call)).map_err(|_| CallError::NotSent)?;
         answer.await.unwrap_or(Err(CallError::Unknown))
     }
@@ -511,12 +513,16 @@
     kept: Option<TcpStream>,
     address: SocketAddr,
     request: &Request,
-    within: Duration,
+    until: Instant,
 ) -> Result<(Response, Option<TcpStream>), CallError> {
-    let until = Instant::now() + within;
     let mut stream = match kept {
         Some(stream) => stream,
-        None => match timeout(CONNECT_TIMEOUT.min(within), TcpStream::connect(address)).await {
+        None => match timeout_at(
+            until.min(Instant::now() + CONNECT_TIMEOUT),
+            TcpStream::connect(address),
+        )
+        .await
+        {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
                 stream
@@ -524,6 +530,10 @@
             _ => return Err(CallError::NotSent),
         },
     };
+    // The last look before anything leaves: what was decided long ago may be wrong by now.
+    if Instant::now() >= until {
+        return Err(CallError::NotSent);
+    }
     let talk = async {
         let bytes = encode_request(&address.to_string(), request);
         stream.write_all(&bytes).await.map_err(|_| CallError::Unknown)?;
@@ -540,7 +550,7 @@
             }
         }
     };
-    match tokio::time::timeout_at(until, talk).await {
+    match timeout_at(until, talk).await {
         Ok(Ok((response, close))) => Ok((response, (!close).then_some(stream))),
         Ok(Err(error)) => Err(error),
         Err(_) => Err(CallError::Unknown),
@@ -642,4 +652,23 @@
         assert!(pool.take(&state).is_some());
         assert_eq!(pool.count, 1);
     }
+
+    /// A call that a process decided before it stood still must not go out when it wakes.
+    #[tokio::test]
+    async fn a_call_whose_time_is_over_is_never_sent() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = Client::start(4, vec![]);
+        let request = Request { method: Method::Post, target: "/do".into(), body: vec![1] };
+        let result = client.call(address, request, Instant::now()).await;
+        assert_eq!(result, Err(CallError::NotSent));
+        drop(client);
+        if let Ok(Ok((mut stream, _))) =
+            timeout(Duration::from_millis(200), listener.accept()).await
+        {
+            let mut bytes = Vec::new();
+            stream.read_to_end(&mut bytes).await.unwrap();
+            assert!(bytes.is_empty());
+        }
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -681,7 +681,7 @@
                     let address = platform.external.state;
                     tokio::spawn(async move {
                         let (request, within) = call.request();
-                        let result = client.call(address, request, within).await;
+                        let result = client.call(address, request, now + within).await;
                         let _ = events.send(Event::State(id, call.reply(result)));
                     });
                 }
@@ -689,14 +689,17 @@
                     let (client, events) = (client.clone(), events.clone());
                     let address = platform.external.cloud;
                     tokio::spawn(async move {
-                        let result = client.call(address, call.request(), CLOUD_TIMEOUT).await;
+                        let result =
+                            client.call(address, call.request(), now + CLOUD_TIMEOUT).await;
                         let _ = events.send(Event::Cloud(id, result));
                     });
                 }
                 Effect::Direct(machine, address, direct) => {
                     let (client, events) = (client.clone(), events.clone());
                     tokio::spawn(async move {
-                        let event = send_direct(&client, machine, address, direct).await;
+                        let event =
+                            send_direct(&client, machine, address, direct, now + WORKER_TIMEOUT)
+                                .await;
                         let _ = events.send(event);
                     });
                 }
@@ -710,6 +713,7 @@
     machine: MachineId,
     address: SocketAddr,
     direct: Direct,
+    until: Instant,
 ) -> Event {
     let (request, sent) = match direct {
         Direct::Status => {
@@ -720,11 +724,10 @@
             (Request { method: Method::Post, target: "/do".into(), body }, Some(orders))
         }
     };
-    let result = client.call(address, request, WORKER_TIMEOUT).await.and_then(|response| {
-        match response.status {
+    let result =
+        client.call(address, request, until).await.and_then(|response| match response.status {
             200 | 409 => wire::decode(&response.body).map_err(|_| CallError::Unknown),
             _ => Err(CallError::NotSent),
-        }
-    });
+        });
     Event::Direct(machine, sent, result)
 }
