--- a/src/api.rs
+++ b/src/api.rs
@@ -233,6 +233,7 @@
                     tracing::info!(job = %id, team = spec.team, why, "refused for good");
                     return Some(self.finish(ticket, Response::empty(422)));
                 }
+                tracing::debug!(job = %id, ?spec, "submitted");
                 jobs::accept(spec, wall_ms())
             }
             (Wish::Abort(_), Some(job)) if job.live().is_some() => jobs::cancel(&id, job)?,
