--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,7 +8,7 @@
 use crate::constants::*;
 use crate::ids::{Amount, Attempt, MachineId, TaskId, Token};
 use crate::placement::Basket;
-use crate::wire::{Order, Report, TaskState};
+use crate::wire::{Order, Report, TaskState, Urgency};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +25,7 @@
 pub struct Entry {
     pub need: Amount,
     pub team: usize,
+    pub urgency: Urgency,
     pub image: Arc<str>,
     pub seen: bool,
     pub state: TaskState,
@@ -207,6 +208,7 @@
                     self.entries.entry(key.clone()).or_insert(Entry {
                         need: Amount::default(),
                         team: usize::MAX,
+                        urgency: Urgency::Production,
                         image: Arc::from(""),
                         seen: true,
                         state: shown.state,
@@ -403,6 +405,7 @@
         let entry = Entry {
             need: Amount::need(4.0, 0.0, 1.0),
             team: 0,
+            urgency: Urgency::High,
             image: Arc::from("img"),
             seen: false,
             state: TaskState::Fetching,
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -10,7 +10,7 @@
 use crate::ids::{Amount, Attempt, JobId, MachineId, NodeName, Revision, TaskId, Token};
 use crate::jobs::{self, Job, JobBody, LiveJob};
 use crate::mesh::MeshMessage;
-use crate::placement::{self, Ask, Basket, Bin, Claim, Input, Offer};
+use crate::placement::{self, Ask, Basket, Bin, Claim, Input, Offer, Rents};
 use crate::settings::Settings;
 use crate::state::{
     Cache, Item, LEADER_KEY, MACHINE_PREFIX, MachineRecord, Origin, Outcome, Rank, StateCore,
@@ -294,21 +294,22 @@
     /// A task that a predecessor started.
     fn adopt(&mut self, machine: &MachineId, task: TaskId, attempt: Attempt, cache: &Cache) {
         let job = cache.jobs.get(&task.job);
-        let (team, need, image) = match job.map(|job| &job.body) {
+        let (team, need, image, urgency) = match job.map(|job| &job.body) {
             Some(JobBody::Live(live)) => {
-                (self.team_of(&live.spec.team), live.need, Arc::from(live.spec.image.as_str()))
+                let image = Arc::from(live.spec.image.as_str());
+                (self.team_of(&live.spec.team), live.need, image, live.spec.urgency)
             }
             Some(JobBody::Over { rest: Some(rest), .. }) => {
-                (self.team_of(&rest.0), rest.1, Arc::from(""))
+                (self.team_of(&rest.0), rest.1, Arc::from(""), Urgency::Production)
             }
-            _ => (usize::MAX, Amount::default(), Arc::from("")),
+            _ => (usize::MAX, Amount::default(), Arc::from(""), Urgency::Production),
         };
         let live = self.live(cache, &task.job).is_some();
         let work = live.then(|| self.work.entry(task.job.clone()).or_default());
         let Some(machine) = self.machines.get_mut(machine) else { return };
         machine.owed = true;
         let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) else { return };
-        (entry.team, entry.need, entry.image) = (team, need, image);
+        (entry.team, entry.need, entry.image, entry.urgency) = (team, need, image, urgency);
         let stop = |reason| Some(Stop { grace_s: 0.0, reason });
         let Some(work) = work else {
             entry.stop = stop(OVER);
@@ -1010,6 +1011,7 @@
                 urgency: job.spec.urgency,
                 fresh: job.spec.shape != Shape::Service || work.retry.is_empty(),
                 beyond,
+                aimless: !settings.has_aim(&job.spec.class),
                 had_turn: started >= turn,
                 missed,
                 size: if missed > 0 && missed == aims { 0 } else { job.spec.tasks },
@@ -1239,8 +1241,14 @@
             image: Self::image_id(&mut self.images, &spec.image),
             avoid,
             gang: spec.shape == Shape::Gang,
-            // A trial of a job that fails everywhere takes what room there is.
-            rents: !trial,
+            rents: if trial {
+                // A trial of a job that fails everywhere takes what room there is.
+                Rents::Nothing
+            } else if spec.urgency == Urgency::Low && !self.settings.has_aim(&spec.class) {
+                Rents::Spot
+            } else {
+                Rents::Any
+            },
         };
         Some((ask, waiting))
     }
@@ -1344,7 +1352,7 @@
             .take(real_asks)
             .cloned()
             .enumerate()
-            .filter(|(_, ask)| ask.urgency <= Urgency::High && ask.rents)
+            .filter(|(_, ask)| ask.urgency <= Urgency::High && ask.rents == Rents::Any)
             .collect();
         let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap });
         for (why, left) in [("machine to come", &plan.booked), ("no room", &plan.short)] {
@@ -1620,12 +1628,26 @@
     }
 
     /// Room kept free for critical work, as asks that come last and are never started.
+    /// Room that least urgent work takes up counts as free: it makes way at once, and would
+    /// otherwise fill each machine that was rented to keep room.
     fn warm_asks(&self, asks: &mut Vec<Ask>, sizes: &[Amount], silent: &[bool], team: usize) {
         let Some(size) = sizes.first() else { return };
         let need = Amount { cpu: size.cpu / 4, gpu: 0, ram: size.ram / 4 };
-        let count = (self.settings.operator.warm_per_zone * 4.0).round() as u32;
         let zones = silent.len();
-        for zone in (0..zones).filter(|zone| count > 0 && !silent[*zone]) {
+        let mut lent = vec![0u64; zones];
+        for machine in self.machines.values().filter(|m| m.life == Life::Up && !m.spot) {
+            let low = machine
+                .entries
+                .values()
+                .filter(|entry| entry.urgency == Urgency::Low && entry.state == TaskState::Running);
+            lent[machine.zone] += low.map(|entry| entry.need.cpu).sum::<u64>();
+        }
+        let wanted = (self.settings.operator.warm_per_zone * 4.0).round() as u64;
+        for zone in (0..zones).filter(|zone| !silent[*zone]) {
+            let count = wanted.saturating_sub(lent[zone] / need.cpu.max(1)) as u32;
+            if count == 0 {
+                continue;
+            }
             asks.push(Ask {
                 team,
                 urgency: Urgency::Low,
@@ -1640,7 +1662,7 @@
                 image: u32::MAX,
                 avoid: Vec::new(),
                 gang: false,
-                rents: true,
+                rents: Rents::Any,
             });
         }
     }
@@ -1701,6 +1723,7 @@
         let entry = Entry {
             need: live.need,
             team,
+            urgency: live.spec.urgency,
             image: Arc::from(live.spec.image.as_str()),
             seen: false,
             state: TaskState::Fetching,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -40,6 +40,8 @@
     pub fresh: bool,
     /// It does not fit into its team's guarantee together with the team's earlier jobs.
     pub beyond: bool,
+    /// No aim is set for its class.
+    pub aimless: bool,
     /// It has started as many tasks as its team may run at once: a big one does not starve the
     /// small ones behind it.
     pub had_turn: bool,
@@ -64,7 +66,9 @@
     }
     for places in turns.values() {
         let mut jobs: Vec<Claim> = places.iter().map(|place| claims[*place]).collect();
-        jobs.sort_by_key(|job| (job.fresh, job.missed, job.had_turn, job.size, job.age));
+        jobs.sort_by_key(|job| {
+            (job.fresh, job.aimless, job.missed, job.had_turn, job.size, job.age)
+        });
         for (place, job) in places.iter().zip(jobs) {
             claims[*place] = job;
         }
@@ -91,8 +95,17 @@
     pub avoid: Vec<u64>,
     /// All of them start at once, or none does.
     pub gang: bool,
-    /// Whether machines are rented for it.
-    pub rents: bool,
+    /// Which machines are rented for it.
+    pub rents: Rents,
+}
+
+/// Which machines an ask is worth renting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rents {
+    Any,
+    /// Idle-time work: it takes what room there is, and machines that cost little.
+    Spot,
+    Nothing,
 }
 
 /// A kind of machine that could be rented.
@@ -264,7 +277,7 @@
                 }
             }
         }
-        while left > 0 && ask.rents && ask.need.fits(&self.team_room[ask.team]) {
+        while left > 0 && ask.need.fits(&self.team_room[ask.team]) {
             if ask.basket == Basket::Heavy && heavy >= cap {
                 break;
             }
@@ -304,7 +317,12 @@
         let choice = (0..self.offers.len())
             .filter(|&i| {
                 let offer = &self.offers[i];
-                offer.most > 0
+                let pays = match ask.rents {
+                    Rents::Any => true,
+                    Rents::Spot => offer.spot,
+                    Rents::Nothing => false,
+                };
+                pays && offer.most > 0
                     && allowed(ask, offer.zone, offer.flavor, offer.spot)
                     && ask.zone_room[offer.zone] > 0
                     && ask.need.fits(&offer.size)
@@ -447,6 +465,7 @@
                     urgency: if random.random() { Urgency::High } else { Urgency::Production },
                     fresh: random.random(),
                     beyond: random.random(),
+                    aimless: random.random(),
                     had_turn: random.random(),
                     missed: random.random_range(0..3),
                     size: random.random_range(0..9),
@@ -461,8 +480,9 @@
             assert!(claims.iter().map(turn).eq(plain.iter().map(turn)));
             for (at, a) in claims.iter().enumerate() {
                 for b in claims[at + 1..].iter().filter(|b| turn(b) == turn(a)) {
-                    assert!((a.fresh, a.missed) <= (b.fresh, b.missed));
-                    if (a.fresh, a.missed, a.had_turn) == (b.fresh, b.missed, b.had_turn) {
+                    let first = |c: &Claim| (c.fresh, c.aimless, c.missed, c.had_turn);
+                    assert!(first(a) <= first(b));
+                    if first(a) == first(b) {
                         assert!((a.size, a.age) < (b.size, b.age));
                     }
                 }
@@ -513,7 +533,7 @@
                     image: random.random_range(0..3),
                     avoid: (0..machines).filter(|_| random.random_range(0..9) == 0).collect(),
                     gang: random.random_range(0..4) == 0,
-                    rents: true,
+                    rents: Rents::Any,
                 }
             })
             .collect();
@@ -550,7 +570,7 @@
             image: 0,
             avoid: vec![],
             gang: false,
-            rents: true,
+            rents: Rents::Any,
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -224,6 +224,11 @@
         faults
     }
 
+    /// Whether any aim is set for the class.
+    pub fn has_aim(&self, class: &str) -> bool {
+        self.platform.params.objectives.iter().any(|o| o.class.as_deref() == Some(class))
+    }
+
     /// The aims at start of a class, in seconds.
     pub fn waits(&self, class: &str) -> impl Iterator<Item = f64> {
         self.platform
