--- a/src/constants.rs
+++ b/src/constants.rs
@@ -191,6 +191,9 @@
 /// Seconds. Work that less urgent tasks may have to repeat so that an urgent one starts where its
 /// image is: a fetch takes a few seconds, and an array that repeats minutes of work ends late.
 pub const IMAGE_WORTH_S: f64 = 30.0;
+/// Share of the tightest aim at start that may go by while a task that makes way saves; beyond it
+/// the task ends at once and goes back to its last checkpoint.
+pub const SAVE_SHARE: f64 = 0.25;
 /// A fetch that takes more than this share of the tightest aim at start is worth stopping less
 /// urgent work for, where a machine has the image.
 pub const FETCH_SHARE: f64 = 0.8;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1241,6 +1241,7 @@
             image: Self::image_id(&mut self.images, &spec.image),
             avoid,
             gang: spec.shape == Shape::Gang,
+            within_s: self.settings.tightest_wait(&spec.class),
             rents: if trial {
                 // A trial of a job that fails everywhere takes what room there is.
                 Rents::Nothing
@@ -1424,8 +1425,9 @@
             && live.spec.image_gb / rate > within_s * FETCH_SHARE
     }
 
-    /// With `warm`, only on a machine that has the image, and only tasks that need not save.
+    /// With `warm`, only on a machine that has the image.
     fn preempt_one(&mut self, ask: &Ask, warm: bool, cache: &Cache, now: Instant) -> bool {
+        let patience_s = ask.within_s.unwrap_or(f64::INFINITY) * SAVE_SHARE;
         let quiet = self.settings.report_every() * 2;
         let mut best: Option<(f64, f64, MachineId, Vec<TaskAttempt>)> = None;
         for machine in self.machines.values() {
@@ -1454,15 +1456,20 @@
                 .filter_map(|((task, attempt), entry)| {
                     let live = cache.jobs.get(&task.job).and_then(Job::live)?;
                     let spec = &live.spec;
-                    let saves = warm && spec.checkpoint_s > 0.0;
-                    if spec.urgency <= ask.urgency || spec.shape != Shape::Array || saves {
+                    if spec.urgency <= ask.urgency || spec.shape != Shape::Array {
                         return None;
                     }
                     let ran = entry
                         .running_since
                         .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
-                    let loses = if spec.checkpoint_s > 0.0 { spec.save_s } else { ran };
-                    Some((loses, task, *attempt, entry.need))
+                    let loses = match spec.checkpoint_s > 0.0 {
+                        true if spec.save_s <= patience_s => spec.save_s,
+                        true => ran.min(spec.checkpoint_s / 2.0),
+                        false => ran,
+                    };
+                    // What matters is the work that is lost, not how many tasks it came in.
+                    let share = entry.need.cpu as f64 / ask.need.cpu.max(1) as f64;
+                    Some((loses * share, task, *attempt, entry.need))
                 })
                 .collect();
             victims.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -1493,8 +1500,10 @@
         tracing::info!(machine = %id, tasks = chosen.len(), loss, "preempted");
         for key in chosen {
             let save_s = cache.jobs.get(&key.0.job).and_then(Job::live).map(|l| l.spec.save_s);
+            // Saving goes on for as long as the urgent task waits for the room.
+            let grace_s = save_s.filter(|save_s| *save_s <= patience_s).unwrap_or(0.0);
             if let Some(machine) = self.machines.get_mut(&id) {
-                machine.stop(&key, Stop { grace_s: save_s.unwrap_or(0.0), reason: PREEMPTED });
+                machine.stop(&key, Stop { grace_s, reason: PREEMPTED });
                 self.stops += 1;
             }
         }
@@ -1662,6 +1671,7 @@
                 image: u32::MAX,
                 avoid: Vec::new(),
                 gang: false,
+                within_s: None,
                 rents: Rents::Any,
             });
         }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -95,6 +95,8 @@
     pub avoid: Vec<u64>,
     /// All of them start at once, or none does.
     pub gang: bool,
+    /// Seconds. The tightest aim at start of its class.
+    pub within_s: Option<f64>,
     /// Which machines are rented for it.
     pub rents: Rents,
 }
@@ -533,6 +535,7 @@
                     image: random.random_range(0..3),
                     avoid: (0..machines).filter(|_| random.random_range(0..9) == 0).collect(),
                     gang: random.random_range(0..4) == 0,
+                    within_s: None,
                     rents: Rents::Any,
                 }
             })
@@ -570,6 +573,7 @@
             image: 0,
             avoid: vec![],
             gang: false,
+            within_s: None,
             rents: Rents::Any,
         }
     }
