--- a/src/constants.rs
+++ b/src/constants.rs
@@ -181,7 +181,11 @@
 /// Share of all running replicas that one round may move; a round that moves less empties one
 /// machine all the same. A move takes a replica a fraction of a second.
 pub const MOVE_SHARE: f64 = 0.02;
-/// A replica is moved only after it ran this long: users count a start that is undone within
+/// The same for tasks that save their progress when they are stopped: they lose a few seconds.
+pub const SAVED_MOVE_SHARE: f64 = 0.05;
+/// Count. Machines that one round of moves looks at, the least used ones, to bound its time.
+pub const EMPTIED_LOOKS: usize = 60;
+/// A task is moved only after it ran this long: users count a start that is undone within
 /// half a minute as none.
 pub const MOVE_AFTER: Duration = Duration::from_secs(45);
 /// A machine is emptied only if at most this share of it is used.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -112,6 +112,8 @@
     /// shows them was held back by the network and is as old as they are.
     pub dead_below: Attempt,
     pub idle_since: Option<Instant>,
+    /// When its tasks were last told to move elsewhere.
+    pub emptied_at: Option<Instant>,
     /// The basket it is in, or was in before it became empty.
     pub basket: Option<Basket>,
     pub images: Vec<Arc<str>>,
@@ -161,6 +163,7 @@
             entries: BTreeMap::new(),
             dead_below: Attempt(0),
             idle_since: None,
+            emptied_at: None,
             basket: None,
             images: Vec::new(),
             image_ids: Vec::new(),
--- /dev/null
+++ b/src/foreman/moves.rs
@@ -0,0 +1,175 @@
+//! Moving work together, so that machines become empty and go back: the paper's consolidation.
+
+use super::*;
+
+/// What a round may still move.
+struct Budget {
+    replicas: f64,
+    savers: f64,
+}
+
+/// Where a task would go, and what it needs there.
+type Target = (usize, Amount);
+
+/// A machine that can be emptied: where its tasks go, and how many of them are replicas.
+struct Emptied {
+    targets: Vec<Target>,
+    replicas: usize,
+}
+
+/// Whether a task of the job can be moved: a replica of a service, which is down for the moment
+/// between two commands, or a task that saves its progress when it is stopped.
+fn movable(job: &LiveJob) -> bool {
+    let saves = job.spec.shape == Shape::Array && job.spec.checkpoint_s > 0.0;
+    (job.spec.shape == Shape::Service || saves) && job.spec.flavors.is_none()
+}
+
+impl Foreman {
+    /// Empties the least used machines whose tasks all fit on others that have their images. How
+    /// many moves are small beside what runs depends on how much does; one machine is emptied in
+    /// any case.
+    pub(super) fn consolidate(
+        &mut self,
+        bins: &[Bin],
+        names: &[Option<MachineId>],
+        cache: &Cache,
+        now: Instant,
+    ) {
+        let mut order: Vec<usize> =
+            (0..bins.len()).filter(|&i| bins[i].ready && bins[i].basket.is_some()).collect();
+        let used = |i: usize| self.size(bins[i].flavor).cpu - bins[i].free.cpu;
+        order.sort_by_key(|&i| (used(i), bins[i].spot, Reverse(bins[i].index)));
+        let mut budget = Budget { replicas: 0.0, savers: 0.0 };
+        for (id, work) in &self.work {
+            let Some(job) = cache.jobs.get(id).and_then(Job::live) else { continue };
+            let placed = work.placed.len() as f64;
+            match job.spec.shape {
+                Shape::Service => budget.replicas += placed * MOVE_SHARE,
+                _ if movable(job) => budget.savers += placed * SAVED_MOVE_SHARE,
+                _ => {}
+            }
+        }
+        let mut bins = bins.to_vec();
+        let mut first = true;
+        let mut receiving = HashSet::new();
+        for source in order.into_iter().take(EMPTIED_LOOKS) {
+            if receiving.contains(&source) {
+                continue;
+            }
+            let size = self.size(bins[source].flavor);
+            let used = size.cpu - bins[source].free.cpu;
+            if used as f64 > size.cpu as f64 * EMPTY_BELOW {
+                return;
+            }
+            let Some(id) = &names[source] else { continue };
+            let Some(emptied) = self.can_empty(id, source, &bins, names, cache, now) else {
+                continue;
+            };
+            let replicas = emptied.replicas as f64;
+            let savers = emptied.targets.len() as f64 - replicas;
+            if !first && (replicas > budget.replicas || savers > budget.savers) {
+                return;
+            }
+            first = false;
+            budget.replicas -= replicas;
+            budget.savers -= savers;
+            for (target, need) in emptied.targets {
+                bins[target].free = bins[target].free.minus(&need);
+                receiving.insert(target);
+            }
+            // Nothing moves onto what was just emptied.
+            bins[source].ready = false;
+            tracing::info!(machine = %id, replicas, savers, "emptied onto others");
+            self.empty(id, cache, now);
+        }
+    }
+
+    fn empty(&mut self, id: &MachineId, cache: &Cache, now: Instant) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.emptied_at = Some(now);
+        let running = |(_, entry): &(&TaskAttempt, &Entry)| entry.state == TaskState::Running;
+        let keys: Vec<_> = machine.entries.iter().filter(running).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            let job = cache.jobs.get(&key.0.job).and_then(Job::live);
+            let grace_s = job.map_or(0.0, |job| job.spec.save_s);
+            machine.stop(&key, Stop { grace_s, reason: MOVED });
+            self.stops += 1;
+        }
+    }
+
+    /// Where each task of the machine would go, if all of them find room.
+    fn can_empty(
+        &self,
+        id: &MachineId,
+        source: usize,
+        bins: &[Bin],
+        names: &[Option<MachineId>],
+        cache: &Cache,
+        now: Instant,
+    ) -> Option<Emptied> {
+        let machine = self.machines.get(id)?;
+        let tasks = || machine.entries.iter().filter(|(_, e)| e.state != TaskState::Exited);
+        for ((task, _), entry) in tasks() {
+            let job = cache.jobs.get(&task.job).and_then(Job::live)?;
+            let ran = entry.running_since.is_some_and(|at| now >= at + MOVE_AFTER);
+            if !ran || !movable(job) || entry.stop.is_some() || entry.state != TaskState::Running {
+                return None;
+            }
+        }
+        let usable = |i: &usize| {
+            let bin = &bins[*i];
+            *i != source && bin.ready && bin.basket == bins[source].basket
+        };
+        let mut free: BTreeMap<u64, Target> =
+            (0..bins.len()).filter(usable).map(|i| (bins[i].index, (i, bins[i].free))).collect();
+        if !machine.spot {
+            // The room that is kept warm in its zone must remain.
+            let zone = bins[source].zone;
+            let spare: u64 = (0..bins.len())
+                .filter(|&i| i != source && bins[i].ready && !bins[i].spot && bins[i].zone == zone)
+                .map(|i| bins[i].free.cpu)
+                .sum();
+            let size = self.size(machine.flavor).cpu;
+            let warm = size as f64 * self.settings.operator.warm_per_zone;
+            if (spare.saturating_sub(machine.used().cpu) as f64) < warm {
+                return None;
+            }
+        }
+        let mut emptied = Emptied { targets: Vec::new(), replicas: 0 };
+        let mut moved: HashMap<(JobId, usize), u32> = HashMap::new();
+        for ((task, _), entry) in tasks() {
+            let spec = &cache.jobs.get(&task.job).and_then(Job::live)?.spec;
+            let work = self.work.get(&task.job)?;
+            let half = (spec.tasks as u32).div_ceil(2);
+            let target = free.values_mut().find(|(i, room)| {
+                let bin = &bins[*i];
+                let zone = bin.zone;
+                if !entry.need.fits(room) || (bin.spot && !spec.spot) {
+                    return false;
+                }
+                let image = |m: &Machine| m.images.contains(&entry.image);
+                let warm = names[*i].as_ref().and_then(|m| self.machines.get(m)).is_some_and(image);
+                let wanted = spec.zone.as_deref();
+                let here = wanted.is_none_or(|name| self.zone(name) == Some(zone));
+                let same = !spec.one_zone || zone == machine.zone;
+                if !(warm && here && same) {
+                    return false;
+                }
+                let there = || {
+                    let others = work.placed.values().filter(|(m, _)| {
+                        m != id && self.machines.get(m).is_some_and(|m| m.zone == zone)
+                    });
+                    let moved = moved.get(&(task.job.clone(), zone)).copied().unwrap_or(0);
+                    others.count() as u32 + moved
+                };
+                !spec.spread || there() < half
+            });
+            let (i, room) = target?;
+            *room = room.minus(&entry.need);
+            emptied.targets.push((*i, entry.need));
+            emptied.replicas += usize::from(spec.shape == Shape::Service);
+            *moved.entry((task.job.clone(), bins[*i].zone)).or_default() += 1;
+        }
+        Some(emptied)
+    }
+}
