--- a/src/constants.rs
+++ b/src/constants.rs
@@ -182,7 +182,7 @@
 /// machine all the same. A move takes a replica a fraction of a second.
 pub const MOVE_SHARE: f64 = 0.02;
 /// The same for tasks that save their progress when they are stopped: they lose a few seconds.
-pub const SAVED_MOVE_SHARE: f64 = 0.05;
+pub const SAVED_MOVE_SHARE: f64 = 0.1;
 /// Count. Machines that one round of moves looks at, the least used ones, to bound its time.
 pub const EMPTIED_LOOKS: usize = 60;
 /// A task is moved only after it ran this long: users count a start that is undone within
