--- a/src/constants.rs
+++ b/src/constants.rs
@@ -129,6 +129,8 @@
 /// A process that handled nothing for this long, five of the pauses above, stood still; for as long
 /// again what it handles may have waited for it.
 pub const STOOD_STILL: Duration = Duration::from_millis(1000);
+/// An event whose handling takes this long is named in the log: the right to act lasts seconds.
+pub const SLOW_EVENT: Duration = Duration::from_millis(250);
 /// Pause between two looks at what silence and age do to machines.
 pub const WATCH_EVERY: Duration = Duration::from_millis(200);
 /// Longest pause between two planning rounds when nothing asks for one.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -27,6 +27,8 @@
 mod moves;
 mod stops;
 
+use stops::Stoppable;
+
 /// Why a task was stopped, where the reason is asked for later.
 const PREEMPTED: &str = "preempted";
 const MOVED: &str = "moved";
@@ -1093,12 +1095,14 @@
     /// Starts what was placed, but not where urgent work would wait for an image while less
     /// urgent work can make way where the image is. Places of asks beyond the jobs' own are room
     /// that is kept warm.
+    #[allow(clippy::too_many_arguments)]
     fn start_planned(
         &mut self,
         places: &[(usize, usize)],
         names: &[Option<MachineId>],
         sources: &mut [(JobId, Vec<u32>)],
         urgent: &mut [(usize, Ask)],
+        stoppable: &mut Stoppable,
         cache: &Cache,
         now: Instant,
     ) {
@@ -1118,7 +1122,7 @@
             if let Some((_, ask)) = urgent.iter_mut().find(|(n, _)| n == ask) {
                 let cold = !machine.image_ids.contains(&ask.image);
                 if cold && self.fetch_is_late(job, &id, cache) {
-                    let room = self.preempt_one(ask, true, cache, now);
+                    let room = self.preempt_one(ask, true, stoppable, cache, now);
                     if room {
                         // It goes where its image is, as soon as that room is free.
                         continue;
@@ -1220,7 +1224,9 @@
         }
         let mut in_zone = vec![0u32; self.settings.platform.params.zones.len()];
         let mut fixed = None;
-        for (machine, _) in work.placed.values() {
+        // Tens of thousands may be placed: they are counted only where their zones matter.
+        let counted = spec.spread || spec.one_zone;
+        for (machine, _) in work.placed.values().filter(|_| counted) {
             if let Some(machine) = self.machines.get(machine) {
                 in_zone[machine.zone] += 1;
                 fixed = Some(machine.zone);
@@ -1370,9 +1376,11 @@
             }
         }
 
-        self.start_planned(&plan.places, &names, &mut sources, &mut urgent, cache, now);
+        let mut stoppable = Stoppable::default();
+        let places = &plan.places;
+        self.start_planned(places, &names, &mut sources, &mut urgent, &mut stoppable, cache, now);
         let unplaced = urgent.into_iter().map(|(n, ask)| (sources[n].1.len(), ask)).collect();
-        self.preempt(unplaced, &room, cache, now);
+        self.preempt(unplaced, &room, &mut stoppable, cache, now);
         for (n, count) in plan.hires.iter().enumerate() {
             if *count > 0 {
                 let (kind, _) = &kinds[n];
@@ -1471,9 +1479,9 @@
         };
         // The tasks of a gang find each other by a common attempt: each generation has one.
         let gang = live.spec.shape == Shape::Gang;
-        let shared = work.placed.values().map(|(_, attempt)| *attempt).max();
-        let attempt = match shared {
-            Some(shared) if gang => shared,
+        let shared = || work.placed.values().map(|(_, attempt)| *attempt).max();
+        let attempt = match gang.then(shared).flatten() {
+            Some(shared) => shared,
             _ => {
                 self.counter += 1;
                 Attempt::new(self.token, self.counter)
@@ -1505,11 +1513,21 @@
     pub fn running(&self) -> BTreeMap<JobId, u32> {
         let mut counts = BTreeMap::new();
         for machine in self.machines.values() {
-            for ((task, _), entry) in &machine.entries {
-                if matches!(entry.state, TaskState::Running | TaskState::Saving) {
-                    *counts.entry(task.job.clone()).or_insert(0) += 1;
-                }
+            let runs =
+                |entry: &Entry| matches!(entry.state, TaskState::Running | TaskState::Saving);
+            let running = machine.entries.iter().filter(|(_, entry)| runs(entry));
+            // Tasks of a job stand side by side: one look at the counts serves them all.
+            let mut last: Option<(&JobId, u32)> = None;
+            for job in running.map(|((task, _), _)| &task.job) {
+                last = match last {
+                    Some((same, n)) if same == job => Some((same, n + 1)),
+                    other => {
+                        add(&mut counts, other);
+                        Some((job, 1))
+                    }
+                };
             }
+            add(&mut counts, last);
         }
         counts
     }
@@ -1559,6 +1577,12 @@
     }
 }
 
+fn add(counts: &mut BTreeMap<JobId, u32>, found: Option<(&JobId, u32)>) {
+    if let Some((job, n)) = found {
+        *counts.entry(job.clone()).or_insert(0) += n;
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,19 @@
     Tick,
 }
 
+impl Event {
+    fn kind(&self) -> &'static str {
+        match self {
+            Event::Http(..) => "request",
+            Event::State(..) => "state service",
+            Event::Cloud(..) => "cloud",
+            Event::Direct(..) => "worker",
+            Event::Mesh(_) => "controller",
+            Event::Tick => "tick",
+        }
+    }
+}
+
 /// What a controller wants done.
 #[derive(Debug)]
 pub enum Effect {
@@ -661,7 +674,12 @@
             } => event,
         };
         let now = Instant::now();
+        let kind = event.kind();
         node.handle(event, now);
+        let took = now.elapsed();
+        if took > SLOW_EVENT {
+            tracing::info!(kind, took_ms = took.as_millis() as u64, "slow to handle");
+        }
         let next = node.next_tick(now);
         tick_at = if tick_at <= now { next } else { tick_at.min(next) };
         for effect in node.out.drain(..) {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -190,9 +190,28 @@
     /// Bins at and after this one are not rented yet.
     real: usize,
     heavy_cap: usize,
+    /// Asks for which nothing was left. Room only shrinks within a plan, so that one alike needs
+    /// no look at hundreds of machines: guests come with hundreds of small jobs.
+    hopeless: Vec<Ask>,
     plan: Plan,
 }
 
+/// Whether what has no room for one has none for the other either.
+fn alike(a: &Ask, b: &Ask) -> bool {
+    (a.team, a.need, a.basket, a.zone, a.spot, a.rents)
+        == (b.team, b.need, b.basket, b.zone, b.spot, b.rents)
+        && a.flavors == b.flavors
+}
+
+/// Whether nothing but what [`alike`] compares decides where it may go.
+fn plain(ask: &Ask) -> bool {
+    !ask.gang
+        && !ask.one_zone
+        && ask.avoid.is_empty()
+        && ask.basket == Basket::Light
+        && ask.zone_room.iter().all(|room| *room == u32::MAX)
+}
+
 impl Planner {
     fn heavy_count(&self) -> usize {
         self.bins.iter().filter(|bin| bin.basket == Some(Basket::Heavy)).count()
@@ -202,7 +221,14 @@
     /// none of them, though what it would need is booked and rented all the same.
     fn serve(&mut self, at: usize, ask: &mut Ask, cap: usize) -> u32 {
         if !ask.gang {
-            return self.fill(at, ask, cap);
+            if plain(ask) && self.hopeless.iter().any(|other| alike(ask, other)) {
+                return ask.count;
+            }
+            let left = self.fill(at, ask, cap);
+            if left > 0 && plain(ask) {
+                self.hopeless.push(ask.clone());
+            }
+            return left;
         }
         let (bins, room) = (self.bins.clone(), self.team_room.clone());
         let (places, zone_room, zone) = (self.plan.places.len(), ask.zone_room.clone(), ask.zone);
@@ -253,7 +279,7 @@
                     && ask.need.fits(&bin.free)
             })
             .collect();
-        order.sort_by_key(|&i| rank(ask, &self.bins[i]));
+        order.sort_by_cached_key(|&i| rank(ask, &self.bins[i]));
         let mut heavy = self.heavy_count();
         for i in order {
             // The tasks are alike, so a bin that is full for one is full for all.
@@ -369,6 +395,7 @@
         team_room,
         real,
         heavy_cap,
+        hopeless: Vec::new(),
         plan: Plan { hires, ..Plan::default() },
     };
     let mut light_waits = false;
