--- a/src/constants.rs
+++ b/src/constants.rs
@@ -118,6 +118,8 @@
 pub const BOOT_PATIENCE: f64 = 3.0;
 /// Added to the above.
 pub const BOOT_PATIENCE_MORE: Duration = Duration::from_secs(20);
+/// Most machines are up, with an image, within this many times their nominal boot time.
+pub const BOOT_USUAL: f64 = 1.5;
 /// A new leader waits this long before it rents, so that its first listing can tell what its
 /// predecessor rented.
 pub const HIRE_SETTLE: Duration = Duration::from_millis(1500);
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1254,6 +1254,7 @@
             avoid,
             gang: spec.shape == Shape::Gang,
             within_s: self.settings.tightest_wait(&spec.class),
+            left_s: None,
             rents: if trial {
                 // A trial of a job that fails everywhere takes what room there is.
                 Rents::Nothing
@@ -1266,6 +1267,22 @@
         Some((ask, waiting))
     }
 
+    /// Seconds until the job misses its next aim at start; none if it has missed them all.
+    fn time_left(&self, id: &JobId, job: &LiveJob, beyond: bool, now: Instant) -> Option<f64> {
+        let known = self.work.get(id)?.known?;
+        let waited = now.saturating_duration_since(known).as_secs_f64();
+        let guarantee = self.settings.guarantee_wait().filter(|_| !beyond);
+        let aims = self.settings.waits(&job.spec.class).chain(guarantee);
+        aims.map(|within_s| within_s - waited).filter(|left| *left > 0.0).min_by(f64::total_cmp)
+    }
+
+    /// Whether a task that has a machine to come starts in time there, or is late already.
+    fn can_wait(&self, ask: &Ask) -> bool {
+        let usual = |flavor: &Flavor| flavor.boot_s * BOOT_USUAL;
+        let boot_s = self.flavors.iter().map(usual).fold(0.0, f64::max);
+        ask.urgency > Urgency::Production && ask.left_s.is_none_or(|left| boot_s < left)
+    }
+
     fn plan(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let settings = self.settings.clone();
         let params = &settings.platform.params;
@@ -1307,7 +1324,7 @@
         let mut budget = PLAN_TASKS_MAX;
         let mut wake: Option<Instant> = None;
         self.waits.clear();
-        for Claim { age: at, .. } in order {
+        for Claim { age: at, beyond, .. } in order {
             if budget == 0 {
                 self.plan_wanted = true;
                 break;
@@ -1320,8 +1337,10 @@
                 *self.waits.entry("team limit").or_default() += waiting - within;
             }
             let most = within.min(budget as u64) as usize;
-            if let Some((ask, tasks)) = self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now)
+            if let Some((mut ask, tasks)) =
+                self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now)
             {
+                ask.left_s = self.time_left(id, job, beyond, now);
                 budget -= tasks.len();
                 asks.push(ask);
                 sources.push((id.clone(), tasks));
@@ -1379,7 +1398,13 @@
         let mut stoppable = Stoppable::default();
         let places = &plan.places;
         self.start_planned(places, &names, &mut sources, &mut urgent, &mut stoppable, cache, now);
-        let unplaced = urgent.into_iter().map(|(n, ask)| (sources[n].1.len(), ask)).collect();
+        // What a machine to come serves in time stops nobody.
+        let coming: HashMap<usize, u32> = plan.booked.iter().copied().collect();
+        let unplaced = urgent.into_iter().map(|(n, ask)| {
+            let served = if self.can_wait(&ask) { coming.get(&n).copied().unwrap_or(0) } else { 0 };
+            (sources[n].1.len().saturating_sub(served as usize), ask)
+        });
+        let unplaced = unplaced.collect();
         self.preempt(unplaced, &room, &mut stoppable, cache, now);
         for (n, count) in plan.hires.iter().enumerate() {
             if *count > 0 {
@@ -1432,6 +1457,7 @@
                 avoid: Vec::new(),
                 gang: false,
                 within_s: None,
+                left_s: None,
                 rents: Rents::Any,
             });
         }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -97,6 +97,8 @@
     pub gang: bool,
     /// Seconds. The tightest aim at start of its class.
     pub within_s: Option<f64>,
+    /// Seconds until it misses its next aim at start; none if it has missed them all.
+    pub left_s: Option<f64>,
     /// Which machines are rented for it.
     pub rents: Rents,
 }
@@ -563,6 +565,7 @@
                     avoid: (0..machines).filter(|_| random.random_range(0..9) == 0).collect(),
                     gang: random.random_range(0..4) == 0,
                     within_s: None,
+                    left_s: None,
                     rents: Rents::Any,
                 }
             })
@@ -601,6 +604,7 @@
             avoid: vec![],
             gang: false,
             within_s: None,
+            left_s: None,
             rents: Rents::Any,
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -239,6 +239,12 @@
             .filter_map(|o| o.within_s)
     }
 
+    /// The aim at start of work within a guarantee, in seconds.
+    pub fn guarantee_wait(&self) -> Option<f64> {
+        let objectives = &self.platform.params.objectives;
+        objectives.iter().filter(|o| o.kind == "guarantee").find_map(|o| o.within_s)
+    }
+
     /// How many of its class's aims at start a job has missed that has waited this long.
     pub fn missed_waits(&self, class: &str, waited: Duration) -> usize {
         self.waits(class).filter(|within_s| waited.as_secs_f64() > *within_s).count()
