--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -57,6 +57,8 @@
     retry: BTreeMap<u32, (Instant, u32)>,
     /// Whether its failures are its own fault.
     evidence: Evidence,
+    /// How often tasks of it made way for urgent ones.
+    made_way: u32,
     /// No task below is pending.
     cursor: u32,
 }
@@ -372,8 +374,10 @@
         }
         let Some(machine) = self.machines.get_mut(id) else { return };
         let index = task.index;
+        let mut made_way = false;
         if let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) {
             entry.settled = true;
+            made_way = entry.stopped_for(PREEMPTED);
             if entry.stopped_for(MOVED) || entry.stopped_for(PREEMPTED) {
                 // Somebody waits: a service for its replica, or urgent work for this room.
                 self.plan_at = now;
@@ -381,6 +385,7 @@
         }
         if live.is_some() && !done {
             let work = self.work.entry(task.job.clone()).or_default();
+            work.made_way += u32::from(made_way);
             let failures = work.retry.get(&index).map_or(0, |(_, n)| *n);
             let pause = match why {
                 "halted" => Duration::ZERO,
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -7,7 +7,8 @@
     key: TaskAttempt,
     urgency: Urgency,
     need: Amount,
-    /// Seconds of its work that are lost if it may save first, and if it may not.
+    /// Seconds of its work that are lost if it may save first, and if it may not; more for a job
+    /// whose tasks made way before.
     saved_loss: f64,
     loss: f64,
     save_s: f64,
@@ -104,12 +105,16 @@
                         .running_since
                         .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
                     let saves = spec.checkpoint_s > 0.0;
+                    // What made way before has lost enough: else the same small jobs are stopped
+                    // again and again until they end late.
+                    let before = self.work.get(&key.0.job).map_or(0, |work| work.made_way);
+                    let weight = 1.0 + f64::from(before) / spec.tasks as f64;
                     Some(Victim {
                         key: key.clone(),
                         urgency: entry.urgency,
                         need: entry.need,
-                        saved_loss: if saves { spec.save_s } else { ran },
-                        loss: if saves { ran.min(spec.checkpoint_s / 2.0) } else { ran },
+                        saved_loss: weight * if saves { spec.save_s } else { ran },
+                        loss: weight * if saves { ran.min(spec.checkpoint_s / 2.0) } else { ran },
                         save_s: if saves { spec.save_s } else { 0.0 },
                     })
                 })
