--- a/src/constants.rs
+++ b/src/constants.rs
@@ -118,6 +118,8 @@
 pub const BOOT_PATIENCE: f64 = 3.0;
 /// Added to the above.
 pub const BOOT_PATIENCE_MORE: Duration = Duration::from_secs(20);
+/// Count. Overdue machines from which on all are taken to come late.
+pub const LATE_TOGETHER: usize = 3;
 /// Most machines are up, with an image, within this many times their nominal boot time.
 pub const BOOT_USUAL: f64 = 1.5;
 /// A new leader waits this long before it rents, so that its first listing can tell what its
@@ -141,6 +143,17 @@
 pub const PLAN_EVERY: Duration = Duration::from_millis(120);
 /// Count. Tasks considered in one planning round; the rest waits for the next.
 pub const PLAN_TASKS_MAX: usize = 1500;
+/// Starts a second of least urgent tasks: at first, and at the least and most. One a tenth of a
+/// second keeps an array going; thousands a second only fill reports.
+pub const LOW_RATE_FIRST: f64 = 200.0;
+pub const LOW_RATE_LEAST: f64 = 10.0;
+pub const LOW_RATE_MOST: f64 = 1000.0;
+/// By how many a second that rate grows with each look at which the process was not late.
+pub const LOW_RATE_STEP: f64 = 10.0;
+/// Pause between two such looks.
+pub const PACE_EVERY: Duration = Duration::from_millis(250);
+/// A tick this late shows that the process falls behind.
+pub const LATE: Duration = Duration::from_millis(150);
 /// Pause between two lines of counts in the log.
 pub const COUNTS_EVERY: Duration = Duration::from_secs(5);
 /// First pause before a failed task is tried again; doubles with each failure.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -13,7 +13,8 @@
 use crate::placement::{self, Ask, Basket, Bin, Claim, Input, Offer, Rents};
 use crate::settings::Settings;
 use crate::state::{
-    Cache, Item, LEADER_KEY, MACHINE_PREFIX, MachineRecord, Origin, Outcome, Rank, StateCore,
+    Bucket, Cache, Item, LEADER_KEY, MACHINE_PREFIX, MachineRecord, Origin, Outcome, Rank,
+    StateCore,
 };
 use crate::vouch::Grants;
 use crate::wire::{Data, Flavor, Guard, Order, Orders, Report, Shape, TaskState, Urgency, Write};
@@ -91,6 +92,10 @@
     consolidate_at: Instant,
     /// When each zone was last found silent.
     zone_silent_at: Vec<Option<Instant>>,
+    /// Starts of least urgent tasks, and how many a second they may be.
+    low_starts: Bucket,
+    low_rate: f64,
+    paced_at: Instant,
     /// Tasks that the last planning round left waiting, by cause: for the log.
     waits: BTreeMap<&'static str, u64>,
     pub grants: Grants,
@@ -133,6 +138,9 @@
             plan_wanted: true,
             reserved: HashSet::new(),
             consolidate_at: now + MOVE_AFTER,
+            low_starts: Bucket::new(LOW_RATE_FIRST, 1.0, now),
+            low_rate: LOW_RATE_FIRST,
+            paced_at: now,
             waits: BTreeMap::new(),
             direct: Vec::new(),
             last_report: now,
@@ -770,6 +778,18 @@
         self.plan_wanted.then_some(self.plan_at)
     }
 
+    /// Told how late this process is: where it falls behind, the thousands of small tasks of one
+    /// array must not cost everybody else their leader.
+    pub fn pace(&mut self, late: Duration, now: Instant) {
+        if now < self.paced_at {
+            return;
+        }
+        self.paced_at = now + PACE_EVERY;
+        let rate = if late > LATE { self.low_rate / 2.0 } else { self.low_rate + LOW_RATE_STEP };
+        self.low_rate = rate.clamp(LOW_RATE_LEAST, LOW_RATE_MOST);
+        self.low_starts.set_rate(self.low_rate, now);
+    }
+
     /// Called often, and only while this process may act.
     pub fn tick(&mut self, state: &mut StateCore, cloud: &mut CloudCore, now: Instant) {
         if now >= self.watch_at {
@@ -819,10 +839,36 @@
         self.zone_silent_at.iter().map(|at| at.is_some_and(|at| now < at + back)).collect()
     }
 
+    /// When the machine was rented that is up and was rented last.
+    fn newest_up(&self) -> Option<Instant> {
+        let up = self.machines.values().filter(|machine| machine.up_since.is_some());
+        up.map(|machine| machine.rented).max()
+    }
+
+    /// From what age on work is not booked on a machine any more that is still booting. Where several
+    /// at once are overdue and none that was rented later is up, all come late, and renting as many
+    /// again would pay twice for the same wait.
+    fn overdue(&self, now: Instant) -> impl Fn(&Machine, &Flavor) -> bool + use<> {
+        let newest = self.newest_up();
+        let usual = |flavor: &Flavor| Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
+        let overtaken = move |machine: &Machine| newest.is_some_and(|at| at > machine.rented);
+        let aged = move |machine: &Machine, flavor: &Flavor| {
+            now.saturating_duration_since(machine.rented) >= usual(flavor)
+        };
+        let late = self.machines.values().filter(|machine| {
+            machine.life == Life::Booting
+                && aged(machine, &self.flavors[machine.flavor])
+                && !overtaken(machine)
+        });
+        let all_late = late.count() >= LATE_TOGETHER;
+        move |machine, flavor| aged(machine, flavor) && (!all_late || overtaken(machine))
+    }
+
     fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let lease = self.settings.worker_lease();
         let cut_off = self.cut_off_zones(now);
         self.weigh_failures(cache, now);
+        let newest_up = self.newest_up();
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
         for machine in self.machines.values_mut() {
@@ -848,8 +894,13 @@
             }
             let flavor = &self.flavors[machine.flavor];
             let age = now.saturating_duration_since(machine.rented);
-            let patience =
+            let mut patience =
                 Duration::from_secs_f64(flavor.boot_s * BOOT_PATIENCE) + BOOT_PATIENCE_MORE;
+            if newest_up.is_none_or(|at| at <= machine.rented) {
+                // Nor is any up that was rented later: they come late all together, and those
+                // that would replace it come no sooner.
+                patience *= 2;
+            }
             if machine.life == Life::Booting && age > patience {
                 tracing::info!(machine = %machine.id, "never came up");
                 machine.life = Life::Returning;
@@ -1049,11 +1100,10 @@
         let mut bins = Vec::new();
         let mut names = Vec::new();
         let hold = Duration::from_secs_f64(settings.operator.hold_s);
+        let overdue = self.overdue(now);
         for machine in self.machines.values_mut() {
             let flavor = &self.flavors[machine.flavor];
-            let age = now.saturating_duration_since(machine.rented);
-            let booting = machine.life == Life::Booting
-                && age < Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
+            let booting = machine.life == Life::Booting && !overdue(machine, flavor);
             // What is being emptied takes nothing until it is empty.
             let emptying = machine.emptied_at.is_some_and(|at| now < at + CONSOLIDATE_EVERY);
             let up = machine.life == Life::Up
@@ -1341,7 +1391,15 @@
             if within < waiting {
                 *self.waits.entry("team limit").or_default() += waiting - within;
             }
-            let most = within.min(budget as u64) as usize;
+            let mut most = within.min(budget as u64) as usize;
+            if job.spec.urgency == Urgency::Low && job.spec.shape == Shape::Array {
+                let paced = self.low_starts.room(now) as usize;
+                if paced < most {
+                    *self.waits.entry("pace of starts").or_default() += (most - paced) as u64;
+                    most = paced;
+                    self.plan_wanted = true;
+                }
+            }
             if let Some((mut ask, tasks)) =
                 self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now)
             {
@@ -1520,6 +1578,9 @@
         };
         tracing::debug!(machine = %id, %task, %attempt, "start");
         self.starts += 1;
+        if live.spec.urgency == Urgency::Low {
+            self.low_starts.take(1.0, now);
+        }
         work.placed.insert(task.index, (id.clone(), attempt));
         let entry = Entry {
             need: live.need,
@@ -1847,4 +1908,66 @@
         let faulty: Vec<bool> = bench.foreman.machines.values().map(|m| m.faulty).collect();
         assert_eq!(faulty, [true, false, false, false]);
     }
+
+    /// Where new machines come late all together, giving them back only begins the wait anew; one
+    /// that others have overtaken is given up in time.
+    #[test]
+    fn machines_that_come_late_together_are_waited_for() {
+        let mut bench = Bench::new();
+        bench.report("i-0", vec![]);
+        bench.job("wk-1", Shape::Array, 4);
+        let names: Vec<String> = (1..6).map(|n| format!("i-{n}")).collect();
+        let rented = names.iter().map(|name| MachineId::new(name)).collect();
+        let kind = Kind { flavor: 0, zone: 1, spot: true };
+        bench.pass(PLAN_EVERY);
+        let hired = CloudEvent::Hired(kind, rented);
+        bench.foreman.on_cloud(hired, &bench.state.cache, bench.now);
+        let booting = |bench: &Bench| {
+            bench.foreman.machines.values().filter(|m| m.life == Life::Booting).count()
+        };
+        let patience =
+            Duration::from_secs_f64(flavor().boot_s * BOOT_PATIENCE) + BOOT_PATIENCE_MORE;
+        bench.pass(patience / 2);
+        let flavor = flavor();
+        let overdue = |bench: &Bench| {
+            let overdue = bench.foreman.overdue(bench.now);
+            bench
+                .foreman
+                .machines
+                .values()
+                .filter(|m| m.up_since.is_none() && overdue(m, &flavor))
+                .count()
+        };
+        assert_eq!(overdue(&bench), 0);
+        bench.pass(patience / 2 + PLAN_EVERY);
+        assert_eq!(booting(&bench), 5);
+        // One that was rented later is up.
+        bench.report("i-9", vec![]);
+        assert_eq!(overdue(&bench), 5);
+        bench.pass(PLAN_EVERY * 2);
+        assert_eq!(booting(&bench), 0);
+    }
+
+    /// The thousands of small tasks of a guest's array must not cost the others their leader.
+    #[test]
+    fn starts_of_least_urgent_tasks_slow_down_where_the_leader_falls_behind() {
+        let started = |late: Duration| {
+            let mut bench = Bench::new();
+            for n in 0..100 {
+                bench.report(&format!("i-{n}"), vec![]);
+            }
+            let id = bench.job("wk-1", Shape::Array, 400);
+            let Some(job) = bench.state.cache.jobs.all.get_mut(&id) else { panic!() };
+            let JobBody::Live(live) = &mut job.body else { panic!() };
+            Arc::make_mut(&mut live.spec).urgency = Urgency::Low;
+            for _ in 0..20 {
+                bench.foreman.pace(late, bench.now);
+                bench.pass(PACE_EVERY);
+            }
+            bench.foreman.starts
+        };
+        assert_eq!(started(Duration::ZERO), 400);
+        let slow = started(LATE * 2);
+        assert!((100..350).contains(&slow), "{slow}");
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -100,6 +100,8 @@
     counts_at: Instant,
     running_at: Instant,
     may_act: bool,
+    /// When the next tick was due.
+    tick_due: Instant,
     pub out: Vec<Effect>,
 }
 
@@ -131,6 +133,7 @@
             counts_at: now,
             running_at: now,
             may_act: false,
+            tick_due: now,
             out: Vec::new(),
             settings,
         })
@@ -411,6 +414,9 @@
     }
 
     fn on_tick(&mut self, now: Instant) {
+        if let Some(foreman) = &mut self.foreman {
+            foreman.pace(now.saturating_duration_since(self.tick_due), now);
+        }
         if now >= self.mesh_at {
             self.mesh_at = now + MESH_EVERY;
             self.mesh_seq += 1;
@@ -497,10 +503,12 @@
 
     /// When the next tick is due. Waking costs more than anything done on waking, so an idle
     /// controller wakes seldom.
-    pub fn next_tick(&self, now: Instant) -> Instant {
+    pub fn next_tick(&mut self, now: Instant) -> Instant {
         let plan = self.foreman.as_ref().and_then(Foreman::next_due).map(|at| at.max(self.work_at));
         let due = self.state.next_due().into_iter().chain(plan).min();
-        due.map_or(now + TICK_MOST, |at| at.clamp(now + TICK_LEAST, now + TICK_MOST))
+        let due = due.map_or(now + TICK_MOST, |at| at.clamp(now + TICK_LEAST, now + TICK_MOST));
+        self.tick_due = due;
+        due
     }
 
     /// Lets the cores act on what has happened until nothing more follows.
--- a/src/state.rs
+++ b/src/state.rs
@@ -296,6 +296,11 @@
         self.refill(now);
         self.room -= n;
     }
+    /// What may be taken now.
+    pub fn room(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        self.room.max(0.0)
+    }
 }
 
 /// Pages being read after a start, a 410 or an outage.
@@ -315,6 +320,8 @@
     requests: Bucket,
     writes: Bucket,
     items: Vec<Item>,
+    /// Whose changes wait or are under way: asked for each job with completions, so often.
+    origins: HashSet<Origin>,
     batch_in_flight: bool,
     /// So many items go one by one: one of them made the service refuse a whole transaction.
     alone: usize,
@@ -355,6 +362,7 @@
             requests: Bucket::new(rps, 1.0, now),
             writes: Bucket::new(write_rps, 1.0, now),
             items: Vec::new(),
+            origins: HashSet::new(),
             batch_in_flight: false,
             alone: 0,
             batch_after: now,
@@ -412,15 +420,18 @@
     }
 
     pub fn push(&mut self, item: Item) {
+        self.origins.insert(item.origin.clone());
         let at = self.items.partition_point(|other| other.rank <= item.rank);
         self.items.insert(at, item);
     }
 
     pub fn has_item(&self, origin: &Origin) -> bool {
-        self.items.iter().any(|item| item.origin == *origin)
-            || self.doing.values().any(|doing| {
-                matches!(doing, Doing::Batch { items, .. } if items.iter().any(|i| i.origin == *origin))
-            })
+        self.origins.contains(origin)
+    }
+
+    fn settle(&mut self, origin: Origin, outcome: Outcome) {
+        self.origins.remove(&origin);
+        self.events.push_back(StateEvent::Outcome(origin, outcome));
     }
 
     /// The election's calls go first and are never held for the budget: there are few.
@@ -582,16 +593,14 @@
                     StateReply::Committed(rev) => {
                         self.apply_own(&txn, rev);
                         for item in items {
-                            let event = StateEvent::Outcome(item.origin, Outcome::Committed);
-                            self.events.push_back(event);
+                            self.settle(item.origin, Outcome::Committed);
                         }
                     }
                     StateReply::Conflict(failed) => {
                         for item in items {
                             let guards = &item.change.guards;
                             if guards.iter().any(|guard| failed.contains(&guard.key)) {
-                                let event = StateEvent::Outcome(item.origin, Outcome::Conflict);
-                                self.events.push_back(event);
+                                self.settle(item.origin, Outcome::Conflict);
                             } else {
                                 self.push(item);
                             }
@@ -611,7 +620,7 @@
                             _ => Outcome::Unknown,
                         };
                         for item in items {
-                            self.events.push_back(StateEvent::Outcome(item.origin, outcome));
+                            self.settle(item.origin, outcome);
                         }
                     }
                 }
