--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1107,7 +1107,7 @@
             // What is being emptied takes nothing until it is empty.
             let emptying = machine.emptied_at.is_some_and(|at| now < at + CONSOLIDATE_EVERY);
             let up = machine.life == Life::Up
-                && !(emptying && !machine.is_empty())
+                && (!emptying || machine.is_empty())
                 && machine.recall_at.is_none()
                 && !machine.faulty
                 && machine.heard.is_some()
