--- a/src/api.rs
+++ b/src/api.rs
@@ -338,25 +338,9 @@
     /// Guests have neither guarantee nor limit; each of their jobs was once refused for good.
     #[test]
     fn a_team_without_a_limit_may_run_whatever_fits_a_machine() {
-        let text = r#"{"host_name":"n","listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
-            "external":{"cloud":"127.0.0.1:8","state":"127.0.0.1:9"},
-            "params":{"zones":["z"],"teams":[{"name":"t","cpus":2.0,"cpus_max":8.0},
-            {"name":"guest"}],"workers":{"report_s":2.0,"lease_s":14.0,"cancel_s":32.0},
-            "state":{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":12},
-            "cloud":{"rps":5.0,"list_lag_s":3.0},"resources":{"max_sockets":700}}}"#;
-        let settings = Settings::parse(text, None).unwrap();
-        let flavors = [Flavor {
-            name: "f".into(),
-            cpus: 16.0,
-            gpus: 0.0,
-            ram_gb: 64.0,
-            cache_gb: 50.0,
-            fetch_gb_per_s: 0.5,
-            price: 1.0,
-            spot_price: 0.3,
-            boot_s: 20.0,
-            zones: vec!["z".into()],
-        }];
+        let teams = r#"[{"name":"t","cpus":2.0,"cpus_max":8.0},{"name":"guest"}]"#;
+        let settings = crate::settings::plain(teams);
+        let flavors = [crate::settings::plain_flavor()];
         let judge = |team: &str, cpus: f64, tasks: u64| {
             let (team, shape) = (team.to_owned(), Shape::Service);
             let spec = JobSpec { team, cpus, shape, ..jobs::plain_spec("wk-1", tasks) };
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -143,13 +143,14 @@
 pub const PLAN_EVERY: Duration = Duration::from_millis(120);
 /// Count. Tasks considered in one planning round; the rest waits for the next.
 pub const PLAN_TASKS_MAX: usize = 1500;
-/// Starts a second of least urgent tasks: at first, and at the least and most. One a tenth of a
-/// second keeps an array going; thousands a second only fill reports.
-pub const LOW_RATE_FIRST: f64 = 200.0;
+/// Starts a second of least urgent tasks: at first, and at the least and most. Ten keep an array
+/// going; thousands of tasks of a few seconds only fill reports, which a new leader has to read
+/// all at once.
+pub const LOW_RATE_FIRST: f64 = 100.0;
 pub const LOW_RATE_LEAST: f64 = 10.0;
-pub const LOW_RATE_MOST: f64 = 1000.0;
+pub const LOW_RATE_MOST: f64 = 250.0;
 /// By how many a second that rate grows with each look at which the process was not late.
-pub const LOW_RATE_STEP: f64 = 10.0;
+pub const LOW_RATE_STEP: f64 = 5.0;
 /// Pause between two such looks.
 pub const PACE_EVERY: Duration = Duration::from_millis(250);
 /// A tick this late shows that the process falls behind.
