--- a/src/constants.rs
+++ b/src/constants.rs
@@ -213,6 +213,9 @@
 /// Seconds. Work that less urgent tasks may have to repeat so that an urgent one starts where its
 /// image is: a fetch takes a few seconds, and an array that repeats minutes of work ends late.
 pub const IMAGE_WORTH_S: f64 = 30.0;
+/// How long idle-time work keeps off a machine that more urgent work left: a task that takes the
+/// room at once is stopped again by the next urgent one, and loses half a checkpoint's time.
+pub const VACATED: Duration = Duration::from_secs(5);
 /// Share of the tightest aim at start that may go by while a task that makes way saves; beyond it
 /// the task ends at once and goes back to its last checkpoint.
 pub const SAVE_SHARE: f64 = 0.25;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -112,6 +112,8 @@
     /// shows them was held back by the network and is as old as they are.
     pub dead_below: Attempt,
     pub idle_since: Option<Instant>,
+    /// When a task that was not of the least urgency last ended here.
+    pub vacated_at: Option<Instant>,
     /// When its tasks were last told to move elsewhere.
     pub emptied_at: Option<Instant>,
     /// The basket it is in, or was in before it became empty.
@@ -163,6 +165,7 @@
             entries: BTreeMap::new(),
             dead_below: Attempt(0),
             idle_since: None,
+            vacated_at: None,
             emptied_at: None,
             basket: None,
             images: Vec::new(),
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -379,6 +379,11 @@
             if !live.is_done(task.index, self.settings.chunk_tasks()) {
                 let work = self.work.entry(task.job.clone()).or_default();
                 work.completing.insert(task.index);
+                if let Some(machine) = self.machines.get_mut(id)
+                    && live.spec.urgency < Urgency::Low
+                {
+                    machine.vacated_at = Some(now);
+                }
                 self.did_well(&task.job, now);
                 return;
             }
@@ -394,6 +399,9 @@
         if let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) {
             entry.settled = true;
             made_way = entry.stopped_for(PREEMPTED);
+            if entry.urgency < Urgency::Low {
+                machine.vacated_at = Some(now);
+            }
             if entry.stopped_for(MOVED) || entry.stopped_for(PREEMPTED) {
                 // Somebody waits: a service for its replica, or urgent work for this room.
                 self.plan_at = now;
@@ -1144,6 +1152,7 @@
                 basket: machine.basket,
                 ready: up && machine.confirmed && machine.recorded,
                 images: machine.image_ids.clone(),
+                vacated: machine.vacated_at.is_some_and(|at| now < at + VACATED),
             });
             names.push(Some(machine.id.clone()));
         }
@@ -1428,6 +1437,7 @@
                     basket: None,
                     ready: false,
                     images: Vec::new(),
+                    vacated: false,
                 });
                 names.push(None);
             }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -29,6 +29,8 @@
     pub ready: bool,
     /// Images that it is believed to have.
     pub images: Vec<u32>,
+    /// More urgent work left it a moment ago, and more may come: idle-time work keeps off.
+    pub vacated: bool,
 }
 
 /// What decides when a job is served; the fields in order of weight.
@@ -278,6 +280,7 @@
                 allowed(ask, bin.zone, bin.flavor, bin.spot)
                     && bin.basket.is_none_or(|basket| basket == ask.basket)
                     && !ask.avoid.contains(&bin.index)
+                    && !(bin.vacated && ask.rents == Rents::Spot)
                     && ask.need.fits(&bin.free)
             })
             .collect();
@@ -375,6 +378,7 @@
             basket: None,
             ready: false,
             images: Vec::new(),
+            vacated: false,
         });
         debug_assert!(self.bins.len() > self.real);
         Some(self.bins.len() - 1)
@@ -455,6 +459,7 @@
                             && ask.need.fits(&team[ask.team])
                             && ask.zone_room[b.zone] > 0
                             && !ask.avoid.contains(&b.index)
+                            && (ask.rents != Rents::Spot || !b.vacated)
                             && match b.basket {
                                 Some(basket) => basket == ask.basket,
                                 None => ask.basket == Basket::Light || !full,
@@ -542,6 +547,7 @@
                     basket,
                     ready: true,
                     images: (0..3).filter(|_| random.random()).collect(),
+                    vacated: random.random(),
                 }
             })
             .collect();
@@ -566,7 +572,7 @@
                     gang: random.random_range(0..4) == 0,
                     within_s: None,
                     left_s: None,
-                    rents: Rents::Any,
+                    rents: if random.random() { Rents::Any } else { Rents::Spot },
                 }
             })
             .collect();
