--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1442,7 +1442,10 @@
                 names.push(None);
             }
         }
-        if real_asks == 0 && unsure.is_empty() && now >= self.consolidate_at {
+        // Least urgent work that waits is no reason to leave others scattered: what is emptied it
+        // can use, and room that it needs itself is not free.
+        let quiet = asks[..real_asks].iter().all(|ask| ask.urgency == Urgency::Low);
+        if quiet && unsure.is_empty() && now >= self.consolidate_at {
             self.consolidate_at = now + CONSOLIDATE_EVERY;
             self.consolidate(&bins, &names, cache, now);
         }
