Reread: one way in for stops, gangs are tried as a whole, paced starts counted one by one

Five loops set an entry's stop beside Machine::stop; all go through it now. A trial of a gang that fails everywhere started one of its tasks alone. Room that starts had taken in the same pass counted as free when urgent work stopped others. Hundreds of jobs of one task each passed the pace of starts together.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -333,18 +333,18 @@
         machine.owed = true;
         let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) else { return };
         (entry.team, entry.need, entry.image, entry.urgency) = (team, need, image, urgency);
-        let stop = |reason| Some(Stop { grace_s: 0.0, reason });
+        let exited = entry.state == TaskState::Exited;
+        let key = (task.clone(), attempt);
         let Some(work) = work else {
-            entry.stop = stop(OVER);
-            return;
+            return machine.stop(&key, Stop { grace_s: 0.0, reason: OVER });
         };
         match work.placed.get(&task.index) {
             None => {
                 work.placed.insert(task.index, (machine.id.clone(), attempt));
             }
-            Some(other) if entry.state != TaskState::Exited => {
+            Some(other) if !exited => {
                 tracing::error!(%task, %attempt, other = %other.0, "a task was found twice");
-                entry.stop = stop("found twice");
+                machine.stop(&key, Stop { grace_s: 0.0, reason: "found twice" });
             }
             Some(_) => {}
         }
@@ -472,18 +472,19 @@
         let Some(machine) = self.machines.get_mut(id) else { return };
         let Some(at) = machine.recall_at else { return };
         let left = at.saturating_duration_since(now).as_secs_f64();
-        for ((task, _), entry) in &mut machine.entries {
+        let drained = |((task, _), entry): &(&TaskAttempt, &Entry)| {
             if entry.stop.is_some() || entry.state == TaskState::Exited {
-                continue;
+                return false;
             }
-            let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { continue };
+            let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { return false };
             let ran = entry.running_since.map(|t| now.saturating_duration_since(t).as_secs_f64());
             let rest = live.spec.expect_s - ran.unwrap_or(0.0);
-            if live.spec.shape == Shape::Array && ran.is_some() && rest < left - 1.0 {
-                continue;
-            }
-            entry.stop = Some(Stop { grace_s: (left - 1.0).max(0.0), reason: "spot notice" });
-            machine.owed = true;
+            live.spec.shape != Shape::Array || ran.is_none() || rest >= left - 1.0
+        };
+        let keys: Vec<_> = machine.entries.iter().filter(drained).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            let stop = Stop { grace_s: (left - 1.0).max(0.0), reason: "spot notice" };
+            machine.stop(&key, stop);
             self.stops += 1;
         }
     }
@@ -509,18 +510,14 @@
                     for task in done {
                         work.completing.remove(&task);
                         work.retry.remove(&task);
-                        if let Some((machine, attempt)) = work.placed.remove(&task)
-                            && let Some(machine) = self.machines.get_mut(&machine)
-                            && let Some(entry) = machine
-                                .entries
-                                .get_mut(&(TaskId { job: id.clone(), index: task }, attempt))
-                        {
-                            if entry.state == TaskState::Exited {
-                                entry.settled = true;
-                            } else {
-                                // A second run of a task that is done by now.
-                                entry.stop = Some(Stop { grace_s: 0.0, reason: "done elsewhere" });
-                                machine.owed = true;
+                        let Some((machine, attempt)) = work.placed.remove(&task) else { continue };
+                        let Some(machine) = self.machines.get_mut(&machine) else { continue };
+                        let key = (TaskId { job: id.clone(), index: task }, attempt);
+                        match machine.entries.get_mut(&key) {
+                            Some(entry) if entry.state == TaskState::Exited => entry.settled = true,
+                            // A second run of a task that is done by now.
+                            _ => {
+                                machine.stop(&key, Stop { grace_s: 0.0, reason: "done elsewhere" })
                             }
                         }
                     }
@@ -557,15 +554,18 @@
         let from = (TaskId { job: id.clone(), index: 0 }, Attempt(0));
         let to = (TaskId { job: id.clone(), index: u32::MAX }, Attempt(u64::MAX));
         for machine in self.machines.values_mut() {
-            for (_, entry) in machine.entries.range_mut(from.clone()..=to.clone()) {
+            let mut keys = Vec::new();
+            for (key, entry) in machine.entries.range_mut(from.clone()..=to.clone()) {
                 if entry.state == TaskState::Exited {
                     entry.settled = true;
                 } else if entry.stop.as_ref().is_none_or(|stop| stop.grace_s > 0.0) {
-                    entry.stop = Some(Stop { grace_s: 0.0, reason: OVER });
-                    machine.owed = true;
-                    self.stops += 1;
+                    keys.push(key.clone());
                 }
             }
+            for key in keys {
+                machine.stop(&key, Stop { grace_s: 0.0, reason: OVER });
+                self.stops += 1;
+            }
         }
     }
 
@@ -1199,6 +1199,12 @@
                     ask.zone_room[zone] = ask.zone_room[zone].saturating_sub(1);
                 }
             }
+            let urgency = cache.jobs.get(job).and_then(Job::live).map(|live| live.spec.urgency);
+            if urgency == Some(Urgency::Low) && !self.low_starts.has(1.0, now) {
+                // Hundreds of jobs may ask for one start each.
+                self.plan_wanted = true;
+                continue;
+            }
             let task = TaskId { job: job.clone(), index: waiting.remove(0) };
             self.start(&id, task, cache, now);
         }
@@ -1250,7 +1256,9 @@
             return None;
         }
         let most = match work.evidence.allows(work.placed.len(), now) {
-            Ok(allowed) => most.min(allowed),
+            // A gang starts as a whole, on trial too.
+            Ok(allowed) if spec.shape != Shape::Gang => most.min(allowed),
+            Ok(_) => most,
             Err(at) => {
                 *self.waits.entry("fails everywhere").or_default() += work.waiting(job);
                 *wake = wake.iter().chain(&at).min().copied();
@@ -1278,7 +1286,7 @@
                 _ => waiting.push(task),
             }
         }
-        if trial && waiting.is_empty() {
+        if trial && waiting.is_empty() && spec.shape != Shape::Gang {
             // The job's own pause is over; that of its next task does not matter.
             waiting.extend(cursor.filter(|_| most > 0));
         }
@@ -1483,7 +1491,8 @@
             (sources[n].1.len().saturating_sub(served as usize), ask)
         });
         let unplaced = unplaced.collect();
-        self.preempt(unplaced, &room, &mut stoppable, cache, now);
+        // Starts have taken room since what may make way was looked up.
+        self.preempt(unplaced, &room, &mut Stoppable::default(), cache, now);
         for (n, count) in plan.hires.iter().enumerate() {
             if *count > 0 {
                 let (kind, _) = &kinds[n];
@@ -1963,4 +1972,21 @@
         let slow = started(LATE * 2);
         assert!((50..200).contains(&slow), "{slow}");
     }
+
+    /// A trial of one task would leave a gang's other tasks out.
+    #[test]
+    fn a_gang_that_fails_everywhere_is_tried_as_a_whole() {
+        let mut bench = Bench::new();
+        bench.job("wk-1", Shape::Gang, 6);
+        for step in 0..300 {
+            bench.pass(PLAN_EVERY);
+            for machine in ["i-1", "i-2", "i-3", "i-4"] {
+                let orders = bench.report(machine, vec![]);
+                bench.report(machine, failed(&orders));
+            }
+            assert_eq!(bench.foreman.starts % 6, 0, "step {step}");
+        }
+        let evidence = &bench.foreman.work[&JobId::new("wk-1")].evidence;
+        assert!(evidence.mistaken() && bench.foreman.starts >= 18, "{}", bench.foreman.starts);
+    }
 }
