Reread: one answer to which machines are overtaken, one note of what left a machine, fewer parameters

newest_up was asked in two places for the same question and answered in two forms; what left a machine was noted in two branches of one exit; the second look at what may make way was handed in from outside; the age from which a machine is overdue stood as bare numbers. Behaviour as it was.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -118,6 +118,10 @@
 pub const BOOT_PATIENCE: f64 = 3.0;
 /// Added to the above.
 pub const BOOT_PATIENCE_MORE: Duration = Duration::from_secs(20);
+/// A machine that is not up after this many times its nominal boot time is overdue.
+pub const BOOT_OVERDUE: f64 = 1.8;
+/// Added to the above.
+pub const BOOT_OVERDUE_MORE: Duration = Duration::from_secs(2);
 /// Count. Overdue machines from which on all are taken to come late.
 pub const LATE_TOGETHER: usize = 3;
 /// Most machines are up, with an image, within this many times their nominal boot time.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -372,6 +372,12 @@
         cache: &Cache,
         now: Instant,
     ) {
+        if let Some(machine) = self.machines.get_mut(id)
+            && let Some(entry) = machine.entries.get(&(task.clone(), attempt))
+            && entry.urgency < Urgency::Low
+        {
+            machine.vacated_at = Some(now);
+        }
         let live = self.live(cache, &task.job);
         let done = why == "done" && live.is_some_and(|l| l.spec.shape != Shape::Service);
         if let (true, Some(live)) = (done, live) {
@@ -379,11 +385,6 @@
             if !live.is_done(task.index, self.settings.chunk_tasks()) {
                 let work = self.work.entry(task.job.clone()).or_default();
                 work.completing.insert(task.index);
-                if let Some(machine) = self.machines.get_mut(id)
-                    && live.spec.urgency < Urgency::Low
-                {
-                    machine.vacated_at = Some(now);
-                }
                 self.did_well(&task.job, now);
                 return;
             }
@@ -399,9 +400,6 @@
         if let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) {
             entry.settled = true;
             made_way = entry.stopped_for(PREEMPTED);
-            if entry.urgency < Urgency::Low {
-                machine.vacated_at = Some(now);
-            }
             if entry.stopped_for(MOVED) || entry.stopped_for(PREEMPTED) {
                 // Somebody waits: a service for its replica, or urgent work for this room.
                 self.plan_at = now;
@@ -855,19 +853,21 @@
         self.zone_silent_at.iter().map(|at| at.is_some_and(|at| now < at + back)).collect()
     }
 
-    /// When the machine was rented that is up and was rented last.
-    fn newest_up(&self) -> Option<Instant> {
+    /// Whether a machine that was rented later than this one is up.
+    fn overtaken(&self) -> impl Fn(&Machine) -> bool + use<> {
         let up = self.machines.values().filter(|machine| machine.up_since.is_some());
-        up.map(|machine| machine.rented).max()
+        let newest = up.map(|machine| machine.rented).max();
+        move |machine| newest.is_some_and(|at| at > machine.rented)
     }
 
     /// From what age on work is not booked on a machine any more that is still booting. Where several
     /// at once are overdue and none that was rented later is up, all come late, and renting as many
     /// again would pay twice for the same wait.
     fn overdue(&self, now: Instant) -> impl Fn(&Machine, &Flavor) -> bool + use<> {
-        let newest = self.newest_up();
-        let usual = |flavor: &Flavor| Duration::from_secs_f64(flavor.boot_s * 1.8 + 2.0);
-        let overtaken = move |machine: &Machine| newest.is_some_and(|at| at > machine.rented);
+        let usual = |flavor: &Flavor| {
+            Duration::from_secs_f64(flavor.boot_s * BOOT_OVERDUE) + BOOT_OVERDUE_MORE
+        };
+        let overtaken = self.overtaken();
         let aged = move |machine: &Machine, flavor: &Flavor| {
             now.saturating_duration_since(machine.rented) >= usual(flavor)
         };
@@ -884,7 +884,7 @@
         let lease = self.settings.worker_lease();
         let cut_off = self.cut_off_zones(now);
         self.weigh_failures(cache, now);
-        let newest_up = self.newest_up();
+        let overtaken = self.overtaken();
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
         for machine in self.machines.values_mut() {
@@ -912,7 +912,7 @@
             let age = now.saturating_duration_since(machine.rented);
             let mut patience =
                 Duration::from_secs_f64(flavor.boot_s * BOOT_PATIENCE) + BOOT_PATIENCE_MORE;
-            if newest_up.is_none_or(|at| at <= machine.rented) {
+            if !overtaken(machine) {
                 // Nor is any up that was rented later: they come late all together, and those
                 // that would replace it come no sooner.
                 patience *= 2;
@@ -1491,8 +1491,7 @@
             (sources[n].1.len().saturating_sub(served as usize), ask)
         });
         let unplaced = unplaced.collect();
-        // Starts have taken room since what may make way was looked up.
-        self.preempt(unplaced, &room, &mut Stoppable::default(), cache, now);
+        self.preempt(unplaced, &room, cache, now);
         for (n, count) in plan.hires.iter().enumerate() {
             if *count > 0 {
                 let (kind, _) = &kinds[n];
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -25,7 +25,7 @@
     victims: Vec<Victim>,
 }
 
-/// What could make way, looked up once in a planning pass and only if anything is to be stopped:
+/// What could make way, looked up once for many asks and only if anything is to be stopped:
 /// machines hold dozens of a guest's small tasks each.
 #[derive(Default)]
 pub(super) struct Stoppable(Option<Vec<Source>>);
@@ -37,7 +37,6 @@
         &mut self,
         unplaced: Vec<(usize, Ask)>,
         room: &[Amount],
-        stoppable: &mut Stoppable,
         cache: &Cache,
         now: Instant,
     ) {
@@ -50,6 +49,8 @@
             .filter(|entry| entry.state != TaskState::Exited)
             .filter(|entry| entry.stopped_for(PREEMPTED))
             .fold(Amount::default(), |sum, entry| sum.plus(&entry.need));
+        // Looked up anew: the starts of this pass have taken room.
+        let mut stoppable = Stoppable::default();
         for (count, ask) in unplaced {
             if ask.gang {
                 continue;
@@ -58,7 +59,7 @@
             for _ in 0..count {
                 if ask.need.fits(&coming) {
                     coming = coming.minus(&ask.need);
-                } else if !self.preempt_one(&ask, false, stoppable, cache, now) {
+                } else if !self.preempt_one(&ask, false, &mut stoppable, cache, now) {
                     break;
                 }
             }
