Planning without a cap: alike tasks are counted, machines are searched by trees

Change: a job asks for a count of alike tasks; which they are is found when one is started, each task passed once and once more for each return (Work::next). First fit searches machines that stand in index order under trees of the most room (src/shelves.rs); what makes way is priced once a machine and ask. What the entries of a machine add up to is kept until they change. The plain model stays the judge.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -154,8 +154,6 @@
 pub const PLAN_IDLE: Duration = Duration::from_millis(1000);
 /// Shortest pause between two planning rounds.
 pub const PLAN_EVERY: Duration = Duration::from_millis(120);
-/// Count. Tasks considered in one planning round; the rest waits for the next.
-pub const PLAN_TASKS_MAX: usize = 1500;
 /// Starts a second of least urgent tasks: at first, and at the least and most. Ten keep an array
 /// going; thousands of tasks of a few seconds only fill reports, which a new leader has to read
 /// all at once.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use crate::constants::*;
 use crate::ids::{Amount, Attempt, MachineId, TaskId, Token};
-use crate::placement::Basket;
+use crate::placement::{Basket, Images};
 use crate::wire::{Order, Report, TaskState, Urgency};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -120,7 +120,7 @@
     pub basket: Option<Basket>,
     pub images: Vec<Arc<str>>,
     /// The same as placement numbers them, as far as it has looked.
-    pub image_ids: Vec<u32>,
+    pub image_ids: Images,
     /// Jobs that failed here, whoever's fault it was.
     pub failed_jobs: HashSet<crate::ids::JobId>,
     /// Enough jobs failed here that do well elsewhere.
@@ -130,6 +130,20 @@
     /// A start or a stop may be owed to it. Among hundreds of machines few have any, and each
     /// look at all that runs on all of them would cost more than everything else.
     pub owed: bool,
+    /// What its entries add up to, until they change.
+    usage: Option<Usage>,
+}
+
+/// What the entries of a machine add up to.
+#[derive(Debug, Clone, Default)]
+pub struct Usage {
+    pub used: Amount,
+    /// The same by team.
+    pub teams: Vec<(usize, Amount)>,
+    /// Heavy if any of its tasks is.
+    pub basket: Option<Basket>,
+    /// CPUs of running tasks of the least urgency.
+    pub low_cpu: u64,
 }
 
 impl Machine {
@@ -169,12 +183,13 @@
             emptied_at: None,
             basket: None,
             images: Vec::new(),
-            image_ids: Vec::new(),
+            image_ids: Images::default(),
             failed_jobs: HashSet::new(),
             faulty: false,
             direct_in_flight: false,
             direct_after: now,
             owed: true,
+            usage: None,
         }
     }
 
@@ -211,6 +226,7 @@
                 Some(entry) => entry,
                 None => {
                     facts.push(Fact::Found(shown.task.clone(), shown.attempt));
+                    self.usage = None;
                     self.entries.entry(key.clone()).or_insert(Entry {
                         need: Amount::default(),
                         team: usize::MAX,
@@ -227,6 +243,9 @@
                 }
             };
             entry.seen = true;
+            if entry.state != shown.state {
+                self.usage = None;
+            }
             entry.state = shown.state;
             match shown.state {
                 TaskState::Running if entry.running_since.is_none() => {
@@ -253,6 +272,7 @@
                 if entry.flying > 0 {
                     return true;
                 }
+                self.usage = None;
                 facts.push(Fact::Vanished(key.0.clone(), key.1));
                 return false;
             }
@@ -266,6 +286,7 @@
 
     /// Its session is over (or the machine is gone): nothing of what it had is there any more.
     pub fn lose_all(&mut self) -> Vec<Fact> {
+        self.usage = None;
         let entries = std::mem::take(&mut self.entries);
         entries
             .into_iter()
@@ -350,6 +371,39 @@
             .fold(Amount::default(), |sum, entry| sum.plus(&entry.need))
     }
 
+    /// To be told whenever an entry was added or changed in place.
+    pub fn entries_changed(&mut self) {
+        self.usage = None;
+    }
+
+    /// What its entries add up to, reckoned anew only when they have changed: among thousands of
+    /// tasks few change from one planning pass to the next.
+    pub fn usage(&mut self, basket: impl Fn(&Amount) -> Basket) -> &Usage {
+        let entries = &self.entries;
+        self.usage.get_or_insert_with(|| {
+            let mut usage = Usage::default();
+            for entry in entries.values().filter(|entry| entry.state != TaskState::Exited) {
+                usage.used = usage.used.plus(&entry.need);
+                match usage.teams.iter_mut().find(|(team, _)| *team == entry.team) {
+                    Some((_, sum)) => *sum = sum.plus(&entry.need),
+                    None => usage.teams.push((entry.team, entry.need)),
+                }
+                if usage.basket != Some(Basket::Heavy) {
+                    usage.basket = Some(basket(&entry.need));
+                }
+                if entry.urgency == Urgency::Low && entry.state == TaskState::Running {
+                    usage.low_cpu += entry.need.cpu;
+                }
+            }
+            usage
+        })
+    }
+
+    /// CPUs of running tasks of the least urgency, as they were last added up.
+    pub fn low_cpu(&self) -> u64 {
+        self.usage.as_ref().map_or(0, |usage| usage.low_cpu)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.entries.values().all(|entry| entry.state == TaskState::Exited)
     }
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -62,11 +62,14 @@
     completing: BTreeSet<u32>,
     /// Not before, and how often it failed.
     retry: BTreeMap<u32, (Instant, u32)>,
+    /// Tasks below the cursor that are to be started again: at once, or after a pause.
+    again: BTreeSet<u32>,
+    paused: BTreeSet<(Instant, u32)>,
     /// Whether its failures are its own fault.
     evidence: Evidence,
     /// How often tasks of it made way for urgent ones.
     made_way: u32,
-    /// No task below is pending.
+    /// Tasks from here on were not looked at yet; those below that wait stand in `again` or `paused`.
     cursor: u32,
 }
 
@@ -76,6 +79,67 @@
     fn waiting(&self, job: &LiveJob) -> u64 {
         job.spec.tasks.saturating_sub(job.done_count()).saturating_sub(self.placed.len() as u64)
     }
+
+    /// The pause of a task until it may be tried again.
+    fn pause_of(&self, task: u32, now: Instant) -> Option<Instant> {
+        self.retry.get(&task).map(|(at, _)| *at).filter(|at| *at > now)
+    }
+
+    /// A task is placed no longer and not done.
+    fn again(&mut self, task: u32, now: Instant) {
+        if task < self.cursor {
+            match self.pause_of(task, now) {
+                Some(at) => drop(self.paused.insert((at, task))),
+                None => drop(self.again.insert(task)),
+            }
+        }
+    }
+
+    /// Ends pauses that are over.
+    fn wake(&mut self, now: Instant) {
+        while let Some((at, task)) = self.paused.first().copied()
+            && at <= now
+        {
+            self.paused.pop_first();
+            self.again.insert(task);
+        }
+    }
+
+    /// Takes the next task that may be started out of those that wait. Each task is passed once
+    /// and once more for each time it comes back, however many there are.
+    fn next(&mut self, job: &LiveJob, now: Instant) -> Option<u32> {
+        let open = |work: &Work, task: u32| !work.placed.contains_key(&task) && !job.is_done(task);
+        while let Some(task) = self.again.pop_first() {
+            if open(self, task) {
+                return Some(task);
+            }
+        }
+        while self.cursor < job.tasks() {
+            let task = self.cursor;
+            self.cursor += 1;
+            if !open(self, task) {
+                continue;
+            }
+            match self.pause_of(task, now) {
+                Some(at) => drop(self.paused.insert((at, task))),
+                None => return Some(task),
+            }
+        }
+        None
+    }
+}
+
+/// A job that asks for machines in a planning pass, and how many of its tasks are still to be placed.
+struct Source {
+    job: JobId,
+    left: u32,
+}
+
+/// Ranks of machines within a zone: the lowest free one is given to the next.
+#[derive(Debug, Default)]
+struct Ranks {
+    free: BTreeSet<u64>,
+    next: u64,
 }
 
 pub struct Foreman {
@@ -87,6 +151,8 @@
     teams: HashMap<String, usize>,
     flavors: Vec<Flavor>,
     pub machines: BTreeMap<MachineId, Machine>,
+    /// By zone.
+    ranks: Vec<Ranks>,
     /// Ordered, so that equal events have equal effects.
     work: BTreeMap<JobId, Work>,
     /// Jobs that another controller told users to be cancelled, while the cache still has them
@@ -136,10 +202,12 @@
     ) -> Foreman {
         let names = settings.platform.params.teams.iter().map(|team| team.name.clone());
         let peers = settings.platform.others.iter().map(|peer| peer.host_name.clone());
+        let zones = settings.platform.params.zones.len();
+        let ranks = std::iter::repeat_with(Ranks::default).take(zones).collect();
         let mut foreman = Foreman {
             token,
             grants: Grants::new(token, peers, now),
-            zone_silent_at: vec![None; settings.platform.params.zones.len()],
+            zone_silent_at: vec![None; zones],
             leader_rev,
             since: now,
             counter: 0,
@@ -147,6 +215,7 @@
             flavors: cache.flavors.0.clone(),
             settings,
             machines: BTreeMap::new(),
+            ranks,
             work: BTreeMap::new(),
             told_cancelled: HashSet::new(),
             images: HashMap::new(),
@@ -210,12 +279,15 @@
     /// zone, so the loss of a zone never takes most of a basket.
     fn add_machine(&mut self, id: &MachineId, kind: Kind, now: Instant) -> &mut Machine {
         let zones = self.settings.platform.params.zones.len() as u64;
-        let taken: HashSet<u64> =
-            self.machines.values().filter(|m| m.zone == kind.zone).map(|m| m.index).collect();
-        let index = (0..)
-            .map(|rank| rank * zones + kind.zone as u64)
-            .find(|index| !taken.contains(index))
-            .unwrap_or(u64::MAX);
+        let known = self.machines.get(id).map(|machine| machine.index);
+        let ranks = &mut self.ranks[kind.zone];
+        let index = known.unwrap_or_else(|| {
+            let rank = ranks.free.pop_first().unwrap_or_else(|| {
+                ranks.next += 1;
+                ranks.next - 1
+            });
+            rank * zones + kind.zone as u64
+        });
         self.machines.entry(id.clone()).or_insert_with(|| {
             Machine::new(id.clone(), kind.flavor, kind.zone, kind.spot, index, now)
         })
@@ -301,7 +373,7 @@
             Fact::Found(task, attempt) => self.adopt(machine, task, attempt, cache),
             Fact::Vanished(task, attempt) => {
                 tracing::info!(%machine, %task, %attempt, "task is gone with its machine's session");
-                self.release(&task, attempt);
+                self.release(&task, attempt, now);
             }
             Fact::Exited { task, attempt, why, saved } => {
                 self.on_exit(machine, task, attempt, &why, saved, cache, now);
@@ -353,6 +425,8 @@
         machine.owed = true;
         let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) else { return };
         (entry.team, entry.need, entry.image, entry.urgency) = (team, need, image, urgency);
+        machine.entries_changed();
+        let Some(entry) = machine.entries.get(&(task.clone(), attempt)) else { return };
         let exited = entry.state == TaskState::Exited;
         let key = (task.clone(), attempt);
         let Some(work) = work else {
@@ -370,13 +444,13 @@
         }
     }
 
-    fn release(&mut self, task: &TaskId, attempt: Attempt) {
+    fn release(&mut self, task: &TaskId, attempt: Attempt, now: Instant) {
         if let Some(work) = self.work.get_mut(&task.job)
             && work.placed.get(&task.index).is_some_and(|(_, placed)| *placed == attempt)
             && !work.completing.contains(&task.index)
         {
             work.placed.remove(&task.index);
-            work.cursor = work.cursor.min(task.index);
+            work.again(task.index, now);
         }
         self.plan_wanted = true;
     }
@@ -446,7 +520,7 @@
             let count = if why == "halted" { failures } else { failures + 1 };
             work.retry.insert(index, (now + pause, count));
         }
-        self.release(&task, attempt);
+        self.release(&task, attempt, now);
     }
 
     /// A task ended well or ran for a while: a job that seemed mistaken goes on at once.
@@ -455,6 +529,8 @@
         if work.evidence.did_well() {
             tracing::info!(job = %id, "does well after all");
             work.retry.values_mut().for_each(|(at, _)| *at = (*at).min(now));
+            let paused = std::mem::take(&mut work.paused);
+            work.again.extend(paused.into_iter().map(|(_, task)| task));
             self.plan_wanted = true;
         }
     }
@@ -684,6 +760,8 @@
         match event {
             CloudEvent::Flavors(found) => {
                 crate::wire::merge(&mut self.flavors, found);
+                // What counts as heavy follows from the largest type.
+                self.machines.values_mut().for_each(Machine::entries_changed);
             }
             CloudEvent::Hired(kind, machines) => {
                 if let Some((_, most)) = self.scarce.get_mut(&kind) {
@@ -770,6 +848,8 @@
 
     fn gone(&mut self, id: &MachineId, how: &'static str, cache: &Cache, now: Instant) {
         let Some(mut machine) = self.machines.remove(id) else { return };
+        let zones = self.settings.platform.params.zones.len() as u64;
+        self.ranks[machine.zone].free.insert(machine.index / zones);
         tracing::info!(machine = %id, how, tasks = machine.entries.len(), "machine is gone");
         for fact in machine.lose_all() {
             self.on_fact(id, fact, cache, now);
@@ -1074,14 +1154,14 @@
     }
 
     /// What each team's tasks may be using.
-    fn team_use(&self) -> Vec<Amount> {
+    fn team_use(&mut self, sizes: &[Amount]) -> Vec<Amount> {
+        let threshold = self.settings.operator.heavy_threshold;
         let mut used = vec![Amount::default(); self.teams.len()];
-        for machine in self.machines.values() {
-            for entry in machine.entries.values() {
-                if entry.state != TaskState::Exited
-                    && let Some(sum) = used.get_mut(entry.team)
-                {
-                    *sum = sum.plus(&entry.need);
+        for machine in self.machines.values_mut() {
+            let usage = machine.usage(|need| placement::basket_of(need, sizes, threshold));
+            for (team, amount) in &usage.teams {
+                if let Some(sum) = used.get_mut(*team) {
+                    *sum = sum.plus(amount);
                 }
             }
         }
@@ -1155,17 +1235,12 @@
             if !(booting || up || coming) {
                 continue;
             }
-            let mut basket = None;
-            for entry in machine.entries.values() {
-                if entry.state != TaskState::Exited {
-                    let this = placement::basket_of(&entry.need, sizes, threshold);
-                    if basket != Some(Basket::Heavy) {
-                        basket = Some(this);
-                    }
-                }
-            }
-            for image in &machine.images[machine.image_ids.len()..] {
-                machine.image_ids.push(Self::image_id(&mut self.images, image));
+            let usage = machine.usage(|need| placement::basket_of(need, sizes, threshold));
+            let (used, basket) = (usage.used, usage.basket);
+            if machine.images.len() > machine.image_ids.len() {
+                let images = machine.images.iter();
+                machine.image_ids =
+                    images.map(|image| Self::image_id(&mut self.images, image)).collect();
             }
             let held = machine.idle_since.is_some_and(|at| now < at + hold);
             if basket.is_some() || !held {
@@ -1176,7 +1251,7 @@
                 zone: machine.zone,
                 flavor: machine.flavor,
                 spot: machine.spot,
-                free: sizes[machine.flavor].minus(&machine.used()),
+                free: sizes[machine.flavor].minus(&used),
                 basket: machine.basket,
                 ready: up && machine.confirmed && machine.recorded,
                 images: machine.image_ids.clone(),
@@ -1195,8 +1270,8 @@
         &mut self,
         places: &[(usize, usize)],
         names: &[Option<MachineId>],
-        sources: &mut [(JobId, Vec<u32>)],
-        urgent: &mut [(usize, Ask)],
+        sources: &mut [Source],
+        urgent: &mut BTreeMap<usize, Ask>,
         stoppable: &mut Stoppable,
         cache: &Cache,
         now: Instant,
@@ -1204,24 +1279,22 @@
         self.reserved.clear();
         for (ask, bin) in places {
             let Some(Some(id)) = names.get(*bin) else { continue };
-            let Some((job, waiting)) = sources.get_mut(*ask) else {
+            let Some(source) = sources.get_mut(*ask) else {
                 self.reserved.insert(id.clone());
                 continue;
             };
-            if waiting.is_empty() {
-                continue;
-            }
+            let job = &source.job;
             let id = id.clone();
             let Some(machine) = self.machines.get(&id) else { continue };
             let zone = machine.zone;
-            if let Some((_, ask)) = urgent.iter_mut().find(|(n, _)| n == ask) {
+            if let Some(ask) = urgent.get_mut(ask) {
                 let cold = !machine.image_ids.contains(&ask.image);
-                if cold && self.fetch_is_late(job, &id, cache) {
-                    let room = self.preempt_one(ask, true, stoppable, cache, now);
-                    if room {
-                        // It goes where its image is, as soon as that room is free.
-                        continue;
-                    }
+                if cold
+                    && self.fetch_is_late(job, &id, cache)
+                    && self.make_warm_way(ask, stoppable, cache, now)
+                {
+                    // It goes where its image is, as soon as that room is free.
+                    continue;
                 }
                 if ask.zone_room[zone] != u32::MAX {
                     ask.zone_room[zone] = ask.zone_room[zone].saturating_sub(1);
@@ -1234,7 +1307,12 @@
                 self.plan_wanted = true;
                 continue;
             }
-            let task = TaskId { job: job.clone(), index: waiting.remove(0) };
+            let work = self.work.get_mut(job);
+            let Some(index) = live.zip(work).and_then(|(live, work)| work.next(live, now)) else {
+                continue;
+            };
+            source.left = source.left.saturating_sub(1);
+            let task = TaskId { job: job.clone(), index };
             self.start(&id, task, cache, now);
         }
     }
@@ -1269,7 +1347,7 @@
         live.sort_by(|a, b| (a.1.since_ms(), a.0).cmp(&(b.1.since_ms(), b.0)));
         let (order, hidden) = self.claims(&live, !unsure.is_empty(), now);
 
-        let used = self.team_use();
+        let used = self.team_use(&sizes);
         let mut team_room: Vec<Amount> = params
             .teams
             .iter()
@@ -1280,15 +1358,10 @@
         team_room.push(unlimited);
 
         let mut asks: Vec<Ask> = Vec::new();
-        let mut sources: Vec<(JobId, Vec<u32>)> = Vec::new();
-        let mut budget = PLAN_TASKS_MAX;
+        let mut sources: Vec<Source> = Vec::new();
         let mut wake: Option<Instant> = None;
         self.waits.clear();
         for Claim { age: at, beyond, .. } in order {
-            if budget == 0 {
-                self.plan_wanted = true;
-                break;
-            }
             let (id, job) = live[at];
             let team = self.teams[&job.spec.team];
             let within = placement::copies(&team_room[team], &job.need);
@@ -1296,7 +1369,7 @@
             if within < waiting {
                 *self.waits.entry("team limit").or_default() += waiting - within;
             }
-            let mut most = within.min(budget as u64);
+            let mut most = within;
             if self.urgency(id, job) == Urgency::Low && job.spec.shape == Shape::Array {
                 let paced = self.low_starts.room(now) as u64;
                 if paced < most.min(waiting) {
@@ -1305,14 +1378,10 @@
                     self.plan_wanted = true;
                 }
             }
-            let most = most as usize;
-            if let Some((mut ask, tasks)) =
-                self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now)
-            {
+            if let Some(mut ask) = self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now) {
                 ask.left_s = self.time_left(id, job, beyond, now);
-                budget -= tasks.len();
+                sources.push(Source { job: id.clone(), left: ask.count });
                 asks.push(ask);
-                sources.push((id.clone(), tasks));
             }
         }
         let real_asks = asks.len();
@@ -1332,7 +1401,7 @@
                     free: sizes[kind.flavor],
                     basket: None,
                     ready: false,
-                    images: Vec::new(),
+                    images: placement::Images::default(),
                     vacated: false,
                 });
                 names.push(None);
@@ -1353,12 +1422,12 @@
             && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
         let offers = if may_rent { kinds.iter().map(|(_, o)| o.clone()).collect() } else { vec![] };
         let room: Vec<Amount> = team_room.clone();
-        let mut urgent: Vec<(usize, Ask)> = asks
+        let mut urgent: BTreeMap<usize, Ask> = asks
             .iter()
             .take(real_asks)
-            .cloned()
             .enumerate()
             .filter(|(_, ask)| ask.urgency <= Urgency::High && ask.rents == Rents::Any)
+            .map(|(n, ask)| (n, ask.clone()))
             .collect();
         let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap });
         for (why, left) in [("machine to come", &plan.booked), ("no room", &plan.short)] {
@@ -1376,7 +1445,7 @@
         let coming: HashMap<usize, u32> = plan.booked.iter().copied().collect();
         let unplaced = urgent.into_iter().map(|(n, ask)| {
             let served = if self.can_wait(&ask) { coming.get(&n).copied().unwrap_or(0) } else { 0 };
-            (sources[n].1.len().saturating_sub(served as usize), ask)
+            (sources[n].left.saturating_sub(served), ask)
         });
         let unplaced = unplaced.collect();
         self.preempt(unplaced, &room, cache, now);
@@ -1438,6 +1507,7 @@
             settled: false,
         };
         machine.entries.insert((task, attempt), entry);
+        machine.entries_changed();
         machine.owed = true;
     }
 
@@ -1624,7 +1694,7 @@
             bench.report(machine, shown.clone());
             let known = bench.foreman.machines.get_mut(&MachineId::new(machine)).unwrap();
             known.images = vec![Arc::from(image)];
-            known.image_ids.clear();
+            known.image_ids = Default::default();
             shown
         };
         let first = fill(&mut bench, "i-1", "wk-1", "i");
--- a/src/foreman/asks.rs
+++ b/src/foreman/asks.rs
@@ -38,7 +38,8 @@
         })
     }
 
-    /// What a job asks for: at most so many of its waiting tasks. `unsure` are the kinds of
+    /// What a job asks for: at most so many of its waiting tasks, counted and not looked at one by
+    /// one. `unsure` are the kinds of
     /// machines on which a predecessor may have started what no report has shown yet; `wake` is
     /// when the first pause after a failure ends.
     #[allow(clippy::too_many_arguments)]
@@ -46,12 +47,12 @@
         &mut self,
         id: &JobId,
         job: &LiveJob,
-        most: usize,
+        most: u64,
         unsure: &[(usize, usize, bool)],
         sizes: &[Amount],
         wake: &mut Option<Instant>,
         now: Instant,
-    ) -> Option<(Ask, Vec<u32>)> {
+    ) -> Option<Ask> {
         let spec = &job.spec;
         let mut ask = self.bare_ask(id, job, sizes)?;
         let work = self.work.get(id)?;
@@ -70,7 +71,7 @@
         }
         let most = match work.evidence.allows(work.placed.len(), now) {
             // A gang starts as a whole, on trial too.
-            Ok(allowed) if spec.shape != Shape::Gang => most.min(allowed),
+            Ok(allowed) if spec.shape != Shape::Gang => most.min(allowed as u64),
             Ok(_) => most,
             Err(at) => {
                 *self.waits.entry("fails everywhere").or_default() += work.waiting(job);
@@ -79,35 +80,26 @@
             }
         };
         let trial = work.evidence.mistaken();
-        let mut waiting = Vec::new();
-        let mut cursor = None;
-        for task in work.cursor..job.tasks() {
-            if waiting.len() >= most {
-                cursor.get_or_insert(task);
-                break;
-            }
-            if work.placed.contains_key(&task) || job.is_done(task) {
-                continue;
-            }
-            cursor.get_or_insert(task);
-            match work.retry.get(&task) {
-                Some((at, _)) if *at > now => {
-                    *self.waits.entry("pause after a failure").or_default() += 1;
-                    *wake = Some(wake.map_or(*at, |w: Instant| w.min(*at)));
-                }
-                _ => waiting.push(task),
-            }
-        }
-        if trial && waiting.is_empty() && spec.shape != Shape::Gang {
+        let work = self.work.get_mut(id)?;
+        work.wake(now);
+        let waiting = work.waiting(job);
+        if trial && spec.shape != Shape::Gang && waiting > 0 && waiting <= work.paused.len() as u64
+        {
             // The job's own pause is over; that of its next task does not matter.
-            waiting.extend(cursor.filter(|_| most > 0));
+            work.again.extend(work.paused.pop_first().map(|(_, task)| task));
         }
-        let work = self.work.get_mut(id)?;
-        work.cursor = cursor.unwrap_or(job.tasks());
-        if waiting.is_empty() {
+        let paused = work.paused.len() as u64;
+        if let Some((at, _)) = work.paused.first() {
+            *self.waits.entry("pause after a failure").or_default() += paused;
+            *wake = wake.iter().chain([at]).min().copied();
+        }
+        let count = most.min(waiting.saturating_sub(paused));
+        // A gang that lacks a task would wait for it for ever once it runs.
+        if count == 0 || (spec.shape == Shape::Gang && paused > 0) {
             return None;
         }
-        ask.count = waiting.len() as u32;
+        ask.count = u32::try_from(count).unwrap_or(u32::MAX);
+        let work = self.work.get(id)?;
         // Tens of thousands may be placed: they are counted only where their zones matter.
         let counted = spec.spread || spec.one_zone;
         for (machine, _) in work.placed.values().filter(|_| counted) {
@@ -126,7 +118,7 @@
             // A trial of a job that fails everywhere takes what room there is.
             ask.rents = Rents::Nothing;
         }
-        Some((ask, waiting))
+        Some(ask)
     }
 
     /// Seconds until the job misses its next aim at start; none if it has missed them all.
@@ -172,11 +164,7 @@
         let zones = silent.len();
         let mut lent = vec![0u64; zones];
         for machine in self.machines.values().filter(|m| m.life == Life::Up && !m.spot) {
-            let low = machine
-                .entries
-                .values()
-                .filter(|entry| entry.urgency == Urgency::Low && entry.state == TaskState::Running);
-            lent[machine.zone] += low.map(|entry| entry.need.cpu).sum::<u64>();
+            lent[machine.zone] += machine.low_cpu();
         }
         let wanted = (self.settings.operator.warm_per_zone * 4.0).round() as u64;
         for zone in (0..zones).filter(|zone| !silent[*zone]) {
--- a/src/foreman/chains.rs
+++ b/src/foreman/chains.rs
@@ -47,8 +47,10 @@
             for (index, (machine, attempt)) in &work.placed {
                 let key = (TaskId { job: (*id).clone(), index: *index }, *attempt);
                 let machine = self.machines.get_mut(machine);
-                if let Some(entry) = machine.and_then(|machine| machine.entries.get_mut(&key)) {
+                let Some(machine) = machine else { continue };
+                if let Some(entry) = machine.entries.get_mut(&key) {
                     entry.urgency = urgency;
+                    machine.entries_changed();
                 }
             }
         }
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -35,7 +35,7 @@
     /// machine that has the image if there is one, and those that lose least.
     pub(super) fn preempt(
         &mut self,
-        unplaced: Vec<(usize, Ask)>,
+        unplaced: Vec<(u32, Ask)>,
         room: &[Amount],
         cache: &Cache,
         now: Instant,
@@ -55,14 +55,10 @@
             if ask.gang {
                 continue;
             }
-            let count = count.min(placement::copies(&room[ask.team], &ask.need) as usize);
-            for _ in 0..count {
-                if ask.need.fits(&coming) {
-                    coming = coming.minus(&ask.need);
-                } else if !self.preempt_one(&ask, false, &mut stoppable, cache, now) {
-                    break;
-                }
-            }
+            let count = u64::from(count).min(placement::copies(&room[ask.team], &ask.need));
+            let served = count.min(placement::copies(&coming, &ask.need));
+            coming = coming.minus(&ask.need.times(served));
+            self.make_way(&ask, count - served, false, &mut stoppable, cache, now);
         }
     }
 
@@ -137,71 +133,131 @@
         sources
     }
 
-    /// With `warm`, only on a machine that has the image.
-    pub(super) fn preempt_one(
+    /// Makes room for one task on a machine that has its image.
+    pub(super) fn make_warm_way(
         &mut self,
         ask: &Ask,
-        warm: bool,
         stoppable: &mut Stoppable,
         cache: &Cache,
         now: Instant,
     ) -> bool {
+        self.make_way(ask, 1, true, stoppable, cache, now) > 0
+    }
+
+    /// Makes room for up to so many tasks, where it costs least first; gives for how many. With
+    /// `warm`, only on machines that have the image.
+    fn make_way(
+        &mut self,
+        ask: &Ask,
+        count: u64,
+        warm: bool,
+        stoppable: &mut Stoppable,
+        cache: &Cache,
+        now: Instant,
+    ) -> u64 {
+        if count == 0 {
+            return 0;
+        }
         // Saving goes on for as long as the urgent task waits for the room.
         let patience_s = ask.within_s.unwrap_or(f64::INFINITY) * SAVE_SHARE;
         let sources = stoppable.0.get_or_insert_with(|| self.sources(cache, now));
-        let mut best: Option<(f64, f64, usize, Vec<usize>)> = None;
-        for (at, source) in sources.iter().enumerate() {
-            if !placement::allowed(ask, source.zone, source.flavor, source.spot)
-                || ask.zone_room[source.zone] == 0
-                || ask.avoid.contains(&source.index)
-            {
-                continue;
-            }
+        // Room that is made on one machine changes what it costs there alone, so each is looked at
+        // once and again after each choice of it.
+        let look = |source: &Source| {
             let known = |machine: &Machine| machine.image_ids.contains(&ask.image);
             let cold = !self.machines.get(&source.id).is_some_and(known);
-            if warm && cold {
-                continue;
+            source.way(ask, patience_s, cold, warm)
+        };
+        let mut ways: BTreeMap<(Price, usize), Way> = BTreeMap::new();
+        for (at, source) in sources.iter().enumerate() {
+            if let Some(way) = look(source) {
+                ways.insert((way.price, at), way);
+            }
+        }
+        let mut chosen = Vec::new();
+        while (chosen.len() as u64) < count
+            && let Some(((_, at), way)) = ways.pop_first()
+        {
+            let source = &mut sources[at];
+            tracing::info!(machine = %source.id, tasks = way.victims.len(), loss = way.loss, "preempted");
+            let mut stopped = Vec::new();
+            for n in way.victims.into_iter().rev() {
+                let victim = source.victims.remove(n);
+                source.free = source.free.plus(&victim.need);
+                let grace_s = if victim.save_s <= patience_s { victim.save_s } else { 0.0 };
+                stopped.push((victim.key, grace_s));
             }
-            let mut free = source.free;
-            let mut chosen = Vec::new();
-            let mut loss = 0.0;
-            for (n, victim) in source.victims.iter().enumerate() {
-                if ask.need.fits(&free) {
-                    break;
-                }
-                if victim.urgency > ask.urgency {
-                    // What matters is the work that is lost, not how many tasks it came in.
-                    let share = victim.need.cpu as f64 / ask.need.cpu.max(1) as f64;
-                    let saves = victim.save_s <= patience_s;
-                    loss += share * if saves { victim.saved_loss } else { victim.loss };
-                    free = free.plus(&victim.need);
-                    chosen.push(n);
-                }
+            source.free = source.free.minus(&ask.need);
+            chosen.push((source.id.clone(), stopped));
+            if let Some(way) = look(source) {
+                ways.insert((way.price, at), way);
             }
-            if !ask.need.fits(&free) || chosen.is_empty() {
-                continue;
+        }
+        let made = chosen.len() as u64;
+        for (id, stopped) in chosen {
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            for (key, grace_s) in stopped {
+                machine.stop(&key, Stop { grace_s, reason: PREEMPTED });
+                self.stops += 1;
             }
-            // An image at hand is worth some repeated work, but not any amount of it.
-            let price = if cold { loss + IMAGE_WORTH_S } else { loss };
-            if warm && loss > IMAGE_WORTH_S {
-                continue;
+        }
+        made
+    }
+}
+
+/// Seconds of work that are repeated, in a form that can be put in order.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Price(f64);
+
+impl Eq for Price {}
+impl PartialOrd for Price {
+    fn partial_cmp(&self, other: &Price) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Price {
+    fn cmp(&self, other: &Price) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+/// Which tasks of a machine would make way for one task, by their numbers.
+struct Way {
+    price: Price,
+    loss: f64,
+    victims: Vec<usize>,
+}
+
+impl Source {
+    fn way(&self, ask: &Ask, patience_s: f64, cold: bool, warm: bool) -> Option<Way> {
+        if !placement::allowed(ask, self.zone, self.flavor, self.spot)
+            || ask.zone_room[self.zone] == 0
+            || ask.avoid.contains(&self.index)
+            || (warm && cold)
+        {
+            return None;
+        }
+        let mut free = self.free;
+        let mut victims = Vec::new();
+        let mut loss = 0.0;
+        for (n, victim) in self.victims.iter().enumerate() {
+            if ask.need.fits(&free) {
+                break;
             }
-            if best.as_ref().is_none_or(|(least, ..)| price < *least) {
-                best = Some((price, loss, at, chosen));
+            if victim.urgency > ask.urgency {
+                // What matters is the work that is lost, not how many tasks it came in.
+                let share = victim.need.cpu as f64 / ask.need.cpu.max(1) as f64;
+                let saves = victim.save_s <= patience_s;
+                loss += share * if saves { victim.saved_loss } else { victim.loss };
+                free = free.plus(&victim.need);
+                victims.push(n);
             }
         }
-        let Some((_, loss, at, chosen)) = best else { return false };
-        let source = &mut sources[at];
-        tracing::info!(machine = %source.id, tasks = chosen.len(), loss, "preempted");
-        let Some(machine) = self.machines.get_mut(&source.id) else { return false };
-        for n in chosen.into_iter().rev() {
-            let victim = source.victims.remove(n);
-            source.free = source.free.plus(&victim.need);
-            let grace_s = if victim.save_s <= patience_s { victim.save_s } else { 0.0 };
-            machine.stop(&victim.key, Stop { grace_s, reason: PREEMPTED });
-            self.stops += 1;
+        // An image at hand is worth some repeated work, but not any amount of it.
+        if !ask.need.fits(&free) || victims.is_empty() || (warm && loss > IMAGE_WORTH_S) {
+            return None;
         }
-        source.free = source.free.minus(&ask.need);
-        true
+        let price = Price(if cold { loss + IMAGE_WORTH_S } else { loss });
+        Some(Way { price, loss, victims })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod records;
 pub mod settings;
+pub mod shelves;
 pub mod state;
 pub mod vouch;
 pub mod wire;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -5,8 +5,10 @@
 //! are the paper's.
 
 use crate::ids::Amount;
+use crate::shelves::{Place, Shelves};
 use crate::wire::Urgency;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Basket {
@@ -14,6 +16,9 @@
     Heavy,
 }
 
+/// The images of a machine, numbered.
+pub type Images = Arc<[u32]>;
+
 /// A machine as placement sees it.
 #[derive(Debug, Clone)]
 pub struct Bin {
@@ -28,7 +33,7 @@
     /// False for a machine that is still booting: work is booked on it, not started.
     pub ready: bool,
     /// Images that it is believed to have.
-    pub images: Vec<u32>,
+    pub images: Images,
     /// More urgent work left it a moment ago, and more may come: idle-time work keeps off.
     pub vacated: bool,
 }
@@ -175,24 +180,15 @@
         && ask.flavors.as_ref().is_none_or(|list| list.contains(&flavor))
 }
 
-/// The order in which an ask looks at bins: machines that are up before booting ones, spot
-/// before ordinary, its own basket before the pool, those that have the image before those that
-/// have not, then the fixed index. For the most urgent work the image goes before the basket:
-/// a fetch takes longer than its users wait.
-fn rank(ask: &Ask, bin: &Bin) -> (bool, bool, bool, bool, u64) {
-    let cold = !bin.images.contains(&ask.image);
-    let pool = bin.basket.is_none();
-    let (first, second) =
-        if ask.urgency == Urgency::Production { (cold, pool) } else { (pool, cold) };
-    (!bin.ready, !bin.spot, first, second, bin.index)
-}
-
 struct Planner {
     bins: Vec<Bin>,
+    shelves: Shelves,
+    /// Bins that have each image that is asked for, in order of their index.
+    warm: HashMap<u32, Vec<usize>>,
     offers: Vec<Offer>,
     team_room: Vec<Amount>,
-    /// Bins at and after this one are not rented yet.
-    real: usize,
+    /// Machines in the heavy basket.
+    heavy: usize,
     heavy_cap: usize,
     /// Asks for which nothing was left. Room only shrinks within a plan, so that one alike needs
     /// no look at hundreds of machines: guests come with hundreds of small jobs.
@@ -216,11 +212,17 @@
         && ask.zone_room.iter().all(|room| *room == u32::MAX)
 }
 
-impl Planner {
-    fn heavy_count(&self) -> usize {
-        self.bins.iter().filter(|bin| bin.basket == Some(Basket::Heavy)).count()
-    }
+/// An ask on its way through the bins: its tasks are alike, so a bin that is full for one is full
+/// for all.
+struct Filling<'a> {
+    at: usize,
+    ask: &'a mut Ask,
+    left: u32,
+    booked: u32,
+    cap: usize,
+}
 
+impl Planner {
     /// Serves an ask; a gang whose tasks don't all find room on machines that are up starts
     /// none of them, though what it would need is booked and rented all the same.
     fn serve(&mut self, at: usize, ask: &mut Ask, cap: usize) -> u32 {
@@ -245,18 +247,20 @@
         self.plan.booked.retain(|(ask, _)| *ask != at);
         (ask.zone_room, ask.zone) = (zone_room, zone);
         self.team_room = room;
-        for (bin, was) in self.bins.iter_mut().zip(bins) {
-            if bin.ready {
+        for (i, was) in bins.into_iter().enumerate() {
+            let bin = &mut self.bins[i];
+            if bin.ready && (bin.free, bin.basket) != (was.free, was.basket) {
                 *bin = was;
+                self.shelves.changed(i, &self.bins[i]);
             }
         }
+        let heavy = self.bins.iter().filter(|bin| bin.basket == Some(Basket::Heavy));
+        self.heavy = heavy.count();
         ask.count
     }
 
     /// Places up to the ask's count; gives how many found nothing.
     fn fill(&mut self, at: usize, ask: &mut Ask, cap: usize) -> u32 {
-        let zones: Vec<usize> =
-            (0..ask.zone_room.len()).filter(|z| ask.zone.is_none_or(|only| only == *z)).collect();
         if ask.one_zone && ask.zone.is_none() {
             // All in one zone: the one in which most of them find room on machines that are up,
             // and of those the first.
@@ -270,78 +274,140 @@
                     .sum::<u64>()
                     .min(u64::from(ask.count))
             };
-            ask.zone = zones.iter().copied().rev().max_by_key(|zone| room(*zone));
+            ask.zone = (0..ask.zone_room.len()).rev().max_by_key(|zone| room(*zone));
         }
-        let mut left = ask.count;
-        let mut booked = 0;
-        let mut order: Vec<usize> = (0..self.bins.len())
-            .filter(|&i| {
-                let bin = &self.bins[i];
-                allowed(ask, bin.zone, bin.flavor, bin.spot)
-                    && bin.basket.is_none_or(|basket| basket == ask.basket)
-                    && !ask.avoid.contains(&bin.index)
-                    && !(bin.vacated && ask.rents == Rents::Spot)
-                    && ask.need.fits(&bin.free)
-            })
-            .collect();
-        order.sort_by_cached_key(|&i| rank(ask, &self.bins[i]));
-        let mut heavy = self.heavy_count();
-        for i in order {
-            // The tasks are alike, so a bin that is full for one is full for all.
-            while left > 0 {
-                let bin = &self.bins[i];
-                let team = &self.team_room[ask.team];
-                if !ask.need.fits(team) || !ask.need.fits(&bin.free) || ask.zone_room[bin.zone] == 0
-                {
+        let mut filling = Filling { at, left: ask.count, booked: 0, cap, ask };
+        let basket = Some(filling.ask.basket);
+        // Machines that are up before booting ones, spot before ordinary, its own basket before the
+        // pool, those that have the image before those that have not, then the fixed index. For the
+        // most urgent work the image goes before the basket: a fetch takes longer than its users
+        // wait.
+        let stages: [(Place, bool); 4] = if filling.ask.urgency == Urgency::Production {
+            [(basket, true), (None, true), (basket, false), (None, false)]
+        } else {
+            [(basket, true), (basket, false), (None, true), (None, false)]
+        };
+        for (booting, ordinary) in [(false, false), (false, true), (true, false), (true, true)] {
+            let shelves: Vec<usize> = self
+                .shelves
+                .kinds()
+                .filter(|(_, shelf)| (shelf.booting, shelf.ordinary) == (booting, ordinary))
+                .filter(|(_, shelf)| {
+                    allowed(filling.ask, shelf.zone, shelf.flavor, !shelf.ordinary)
+                })
+                .map(|(n, _)| n)
+                .collect();
+            if shelves.is_empty() {
+                continue;
+            }
+            for (place, warm) in stages {
+                if !self.goes_on(&filling) {
                     break;
                 }
-                if bin.basket.is_none() {
-                    if ask.basket == Basket::Heavy && heavy >= cap {
-                        break;
-                    }
-                    heavy += usize::from(ask.basket == Basket::Heavy);
-                }
-                self.put(i, ask);
-                left -= 1;
-                if self.bins[i].ready {
-                    self.plan.places.push((at, i));
+                if warm {
+                    self.fill_warm(&mut filling, place, booting, ordinary);
                 } else {
-                    booked += 1;
+                    self.fill_in_order(&mut filling, place, &shelves);
                 }
             }
         }
-        while left > 0 && ask.need.fits(&self.team_room[ask.team]) {
-            if ask.basket == Basket::Heavy && heavy >= cap {
+        while self.goes_on(&filling) && !self.is_capped(&filling, None) {
+            let Some(i) = self.rent(filling.ask) else { break };
+            self.put(&mut filling, i);
+        }
+        let Filling { left, booked, .. } = filling;
+        if booked > 0 {
+            self.plan.booked.push((at, booked));
+        }
+        left
+    }
+
+    fn goes_on(&self, filling: &Filling) -> bool {
+        filling.left > 0 && filling.ask.need.fits(&self.team_room[filling.ask.team])
+    }
+
+    /// Whether the ask may take no machine from there: the heavy basket is full.
+    fn is_capped(&self, filling: &Filling, place: Place) -> bool {
+        place.is_none() && filling.ask.basket == Basket::Heavy && self.heavy >= filling.cap
+    }
+
+    /// Bins of this stage that have the ask's image.
+    fn fill_warm(&mut self, filling: &mut Filling, place: Place, booting: bool, ordinary: bool) {
+        let Some(bins) = self.warm.remove(&filling.ask.image) else { return };
+        for &i in &bins {
+            if !self.goes_on(filling) {
                 break;
             }
-            let Some(i) = self.rent(ask) else { break };
-            heavy += usize::from(ask.basket == Basket::Heavy);
-            while left > 0
-                && ask.need.fits(&self.bins[i].free)
-                && ask.need.fits(&self.team_room[ask.team])
-                && ask.zone_room[self.bins[i].zone] > 0
+            let bin = &self.bins[i];
+            if bin.basket == place
+                && (!bin.ready, !bin.spot) == (booting, ordinary)
+                && allowed(filling.ask, bin.zone, bin.flavor, bin.spot)
+                && !self.is_capped(filling, place)
             {
-                self.put(i, ask);
-                left -= 1;
-                booked += 1;
+                self.put(filling, i);
             }
         }
-        if booked > 0 {
-            self.plan.booked.push((at, booked));
+        self.warm.insert(filling.ask.image, bins);
+    }
+
+    /// Bins of this stage in index order, whatever images they have: those that have the ask's were
+    /// filled before.
+    fn fill_in_order(&mut self, filling: &mut Filling, place: Place, shelves: &[usize]) {
+        let need = filling.ask.need;
+        let mut next: Vec<_> =
+            shelves.iter().map(|&n| (n, self.shelves.next(n, place, &need, 0))).collect();
+        while self.goes_on(filling) && !self.is_capped(filling, place) {
+            let first = next
+                .iter()
+                .enumerate()
+                .filter_map(|(n, (_, found))| Some((n, (*found)?)))
+                .min_by_key(|(_, (i, _))| (self.bins[*i].index, *i));
+            let Some((n, (i, slot))) = first else { return };
+            // A task that needs nothing "fits" what stands elsewhere, too.
+            if self.bins[i].basket == place {
+                self.put(filling, i);
+            }
+            let shelf = next[n].0;
+            next[n].1 = if filling.ask.zone_room[self.bins[i].zone] == 0 {
+                None
+            } else {
+                self.shelves.next(shelf, place, &need, slot + 1)
+            };
         }
-        left
     }
 
-    fn put(&mut self, i: usize, ask: &mut Ask) {
+    /// Puts as many tasks into a bin as fit and may go there.
+    fn put(&mut self, filling: &mut Filling, i: usize) {
+        let ask = &mut *filling.ask;
         let bin = &mut self.bins[i];
-        bin.free = bin.free.minus(&ask.need);
-        bin.basket = Some(ask.basket);
-        let zone = bin.zone;
-        if ask.zone_room[zone] != u32::MAX {
-            ask.zone_room[zone] -= 1;
+        if ask.avoid.contains(&bin.index) || (bin.vacated && ask.rents == Rents::Spot) {
+            return;
         }
         let team = &mut self.team_room[ask.team];
-        *team = team.minus(&ask.need);
+        let room = copies(&bin.free, &ask.need).min(copies(team, &ask.need));
+        let room = u32::try_from(room).unwrap_or(u32::MAX);
+        let count = filling.left.min(ask.zone_room[bin.zone]).min(room);
+        if count == 0 {
+            return;
+        }
+        let need = ask.need.times(u64::from(count));
+        if bin.basket.is_none() {
+            self.heavy += usize::from(ask.basket == Basket::Heavy);
+        }
+        bin.free = bin.free.minus(&need);
+        bin.basket = Some(ask.basket);
+        *team = team.minus(&need);
+        if ask.zone_room[bin.zone] != u32::MAX {
+            ask.zone_room[bin.zone] -= count;
+        }
+        filling.left -= count;
+        if bin.ready {
+            let places = &mut self.plan.places;
+            places.extend(std::iter::repeat_n((filling.at, i), count as usize));
+        } else {
+            filling.booked += count;
+        }
+        self.shelves.changed(i, &self.bins[i]);
     }
 
     /// Opens a bin for the cheapest offer that the ask may use; among equals, in the zone that
@@ -377,10 +443,10 @@
             free: offer.size,
             basket: None,
             ready: false,
-            images: Vec::new(),
+            images: Images::default(),
             vacated: false,
         });
-        debug_assert!(self.bins.len() > self.real);
+        self.shelves.push(&self.bins);
         Some(self.bins.len() - 1)
     }
 }
@@ -393,13 +459,26 @@
 
 pub fn plan(input: Input) -> Plan {
     let Input { bins, mut asks, team_room, offers, heavy_cap } = input;
-    let real = bins.len();
     let hires = vec![0; offers.len()];
+    let mut warm: HashMap<u32, Vec<usize>> =
+        asks.iter().map(|ask| (ask.image, Vec::new())).collect();
+    for (i, bin) in bins.iter().enumerate() {
+        for image in bin.images.iter() {
+            if let Some(bins) = warm.get_mut(image) {
+                bins.push(i);
+            }
+        }
+    }
+    for of_image in warm.values_mut() {
+        of_image.sort_by_key(|&i| (bins[i].index, i));
+    }
     let mut planner = Planner {
+        shelves: Shelves::new(&bins),
+        warm,
+        heavy: bins.iter().filter(|bin| bin.basket == Some(Basket::Heavy)).count(),
         bins,
         offers,
         team_room,
-        real,
         heavy_cap,
         hopeless: Vec::new(),
         plan: Plan { hires, ..Plan::default() },
@@ -434,6 +513,18 @@
     use rand::rngs::StdRng;
     use rand::{Rng, SeedableRng};
 
+    /// The order in which an ask looks at bins: machines that are up before booting ones, spot
+    /// before ordinary, its own basket before the pool, those that have the image before those that
+    /// have not, then the fixed index. For the most urgent work the image goes before the basket:
+    /// a fetch takes longer than its users wait.
+    fn rank(ask: &Ask, bin: &Bin) -> (bool, bool, bool, bool, u64) {
+        let cold = !bin.images.contains(&ask.image);
+        let pool = bin.basket.is_none();
+        let (first, second) =
+            if ask.urgency == Urgency::Production { (cold, pool) } else { (pool, cold) };
+        (!bin.ready, !bin.spot, first, second, bin.index)
+    }
+
     /// The slow plain model: one task at a time, each looking at every bin afresh.
     fn model(input: &Input) -> Vec<(usize, usize)> {
         let mut bins = input.bins.clone();
@@ -455,6 +546,7 @@
                         b.ready
                             && (!b.spot || ask.spot)
                             && ask.zone.is_none_or(|z| z == b.zone)
+                            && ask.flavors.as_ref().is_none_or(|list| list.contains(&b.flavor))
                             && ask.need.fits(&b.free)
                             && ask.need.fits(&team[ask.team])
                             && ask.zone_room[b.zone] > 0
@@ -539,14 +631,15 @@
                     _ => None,
                 };
                 Bin {
-                    index,
+                    // Handed in out of order.
+                    index: (index * 7919) % 10_007,
                     zone: random.random_range(0..3),
-                    flavor: 0,
+                    flavor: random.random_range(0..2),
                     spot: random.random(),
                     free: if basket.is_some() { size.minus(&used) } else { size },
                     basket,
                     ready: true,
-                    images: (0..3).filter(|_| random.random()).collect(),
+                    images: (0..3u32).filter(|_| random.random()).collect(),
                     vacated: random.random(),
                 }
             })
@@ -563,12 +656,15 @@
                     basket: basket_of(&need, &[size], 0.5),
                     count: random.random_range(1..tasks),
                     zone: random.random::<bool>().then(|| random.random_range(0..3)),
-                    flavors: None,
+                    flavors: random.random::<bool>().then(|| vec![random.random_range(0..2)]),
                     spot: random.random(),
                     zone_room: vec![if spread { 3 } else { u32::MAX }; 3],
                     one_zone: false,
                     image: random.random_range(0..3),
-                    avoid: (0..machines).filter(|_| random.random_range(0..9) == 0).collect(),
+                    avoid: (0..machines)
+                        .filter(|_| random.random_range(0..9) == 0)
+                        .map(|index| (index * 7919) % 10_007)
+                        .collect(),
                     gang: random.random_range(0..4) == 0,
                     within_s: None,
                     left_s: None,
