Fewer calls of the store: followers pause longer, marks go together once a second

Change: one read for a message of the usual size; followers pause 300 ms after a follow, leaders 100 ms; polls share a sync for 250 ms, submissions don't wait for that; marks of jobs that go on once a second.

--- a/src/api.rs
+++ b/src/api.rs
@@ -237,7 +237,10 @@
     }
 
     fn sync(&self, ticket: u64, state: &mut StateCore) -> Option<Response> {
-        state.sync(ticket);
+        match self.waiting.get(&ticket).map(|waiting| &waiting.wish) {
+            Some(Wish::Poll(_)) => state.sync(ticket),
+            _ => state.sync_soon(ticket),
+        }
         None
     }
 
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -10,6 +10,8 @@
 pub const CLIENT_BODY_MAX: usize = 8 * 1024 * 1024;
 /// Bytes. Request line and headers together; ours are a few hundred.
 pub const HEAD_MAX: usize = 8 * 1024;
+/// Bytes. What one read takes at the most: more than nearly all messages have.
+pub const READ_AT_ONCE: usize = 4096;
 /// Count. Headers in one message.
 pub const HEADERS_MAX: usize = 48;
 /// A client that sends half a request is dropped after this long.
@@ -43,10 +45,20 @@
 pub const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a follow waits at the state service.
 pub const FOLLOW_WAIT: Duration = Duration::from_secs(8);
-/// Pause after a follow answer, so that a burst of changes costs at most 14 requests a second.
-pub const FOLLOW_PAUSE: Duration = Duration::from_millis(70);
-/// Pause between two read-index syncs of one process: polls that come meanwhile share the next.
+/// Pause of a leader after a follow answer: a burst of changes costs at most 10 requests a second, and
+/// a submission waits so long for its first look at the most.
+pub const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
+/// The same for the other controllers, who need news to answer polls (a sync brings it sooner) and to
+/// see that nobody leads: an answer of the store costs more than anything else that they do.
+pub const FOLLOWER_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between two read-index syncs of one process.
 pub const SYNC_PAUSE: Duration = Duration::from_millis(120);
+/// Added to it where only polls wait, so that more of them share the next: users give a poll 2 s and
+/// expect news within 3 s. A submission that names jobs accepted a moment ago has 200 ms.
+pub const SYNC_JOINED: Duration = Duration::from_millis(130);
+/// How long marks of tasks of jobs that go on wait for others: one write carries all of a job's that
+/// have come, and each write is read by every controller.
+pub const MARKS_EVERY: Duration = Duration::from_millis(1000);
 /// Pause after a failed call to the state service, grown by a random half.
 pub const STATE_RETRY: Duration = Duration::from_millis(250);
 /// A process that has had no answer from the state service for this long counts it as lost.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -176,6 +176,8 @@
     low_starts: Bucket,
     low_rate: f64,
     paced_at: Instant,
+    /// When marks of jobs that go on are written next.
+    marks_at: Instant,
     /// Tasks that the last planning round left waiting, by cause: for the log.
     waits: BTreeMap<&'static str, u64>,
     pub wall: Wall,
@@ -230,6 +232,7 @@
             low_starts: Bucket::new(LOW_RATE_FIRST, 1.0, now),
             low_rate: LOW_RATE_FIRST,
             paced_at: now,
+            marks_at: now,
             waits: BTreeMap::new(),
             wall,
             carried: HashMap::new(),
@@ -676,7 +679,7 @@
     }
 
     /// Hands the store what is due: records of machines and completions.
-    fn store(&self, state: &mut StateCore, now: Instant) {
+    fn store(&mut self, state: &mut StateCore, now: Instant) {
         for machine in self.machines.values().filter(|m| m.life == Life::Up && !m.recorded) {
             let origin = Origin::MachineKnown(machine.id.clone());
             if state.has_item(&origin) {
@@ -726,7 +729,11 @@
         }
     }
 
-    fn store_completions(&self, state: &mut StateCore, now: Instant) {
+    fn store_completions(&mut self, state: &mut StateCore, now: Instant) {
+        let marks = now >= self.marks_at && !state.is_behind();
+        if marks {
+            self.marks_at = now + MARKS_EVERY;
+        }
         let layout = state.layout();
         let now_ms = self.wall.ms(now);
         let guard = self.leader_guard();
@@ -743,7 +750,7 @@
             let Some(job) = state.cache.jobs.get(id) else { continue };
             let tasks: Vec<u32> = work.completing.iter().copied().collect();
             let Some(done) = jobs::complete(id, job, &tasks, now_ms, &layout) else { continue };
-            if !done.ends && state.is_behind() {
+            if !(done.ends || marks && !state.is_behind()) {
                 continue;
             }
             let mut change = done.change;
--- a/src/http.rs
+++ b/src/http.rs
@@ -317,6 +317,15 @@
     }
 }
 
+/// Reads what has come: a message of the usual size with one system call, and without holding any
+/// memory while nothing comes. Hundreds of workers report a few times a second each, and what a
+/// report costs is mostly its system calls.
+async fn read_some(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<usize> {
+    stream.readable().await?;
+    buffer.reserve(READ_AT_ONCE);
+    stream.read_buf(buffer).await
+}
+
 async fn connection(mut stream: TcpStream, to: mpsc::Sender<Incoming>) {
     let _ = stream.set_nodelay(true);
     let mut buffer: Vec<u8> = Vec::new();
@@ -331,7 +340,7 @@
                 Err(error) => break Err(error),
             }
             let wait = if buffer.is_empty() { IDLE_TIMEOUT } else { READ_TIMEOUT };
-            match timeout(wait, stream.read_buf(&mut buffer)).await {
+            match timeout(wait, read_some(&mut stream, &mut buffer)).await {
                 Ok(Ok(n)) if n > 0 => {}
                 _ => return,
             }
@@ -537,14 +546,14 @@
     let talk = async {
         let bytes = encode_request(&address.to_string(), request);
         stream.write_all(&bytes).await.map_err(|_| CallError::Unknown)?;
-        let mut buffer = Vec::with_capacity(512);
+        let mut buffer = Vec::new();
         loop {
             match parse_response(&buffer) {
                 Ok(Parsed::Done((response, close), _)) => return Ok((response, close)),
                 Ok(Parsed::Partial) => {}
                 Err(_) => return Err(CallError::Unknown),
             }
-            match stream.read_buf(&mut buffer).await {
+            match read_some(&mut stream, &mut buffer).await {
                 Ok(n) if n > 0 => {}
                 _ => return Err(CallError::Unknown),
             }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -114,10 +114,12 @@
 }
 
 async fn read_frames(
-    mut stream: TcpStream,
+    stream: TcpStream,
     to: mpsc::UnboundedSender<MeshMessage>,
 ) -> std::io::Result<()> {
     let _ = stream.set_nodelay(true);
+    // Length and body come in one packet as a rule: one system call for both.
+    let mut stream = BufReader::with_capacity(READ_AT_ONCE, stream);
     loop {
         let length = timeout(IDLE_TIMEOUT, stream.read_u32()).await?? as usize;
         if length > FRAME_MAX {
--- a/src/node.rs
+++ b/src/node.rs
@@ -661,7 +661,7 @@
                     Some(ElectionEvent::Won(token)) => {
                         tracing::info!(%token, "won the leadership");
                         self.state.set_leading(true, now);
-                        self.state.sync(TAKE_OVER);
+                        self.state.sync_soon(TAKE_OVER);
                     }
                     Some(ElectionEvent::Lost(why)) => self.lost(why, now),
                     None => {}
@@ -679,7 +679,7 @@
         }
         if self.state.cache.flavors.0.is_empty() {
             // Without the catalogue nothing can be judged; it comes from the cloud soon.
-            self.state.sync(TAKE_OVER);
+            self.state.sync_soon(TAKE_OVER);
             return;
         }
         let cache = &self.state.cache;
--- a/src/state.rs
+++ b/src/state.rs
@@ -379,9 +379,12 @@
     batch_after: Instant,
     follow_in_flight: bool,
     follow_after: Instant,
+    follow_pause: Duration,
     sync_in_flight: bool,
     sync_after: Instant,
     sync_wanted: Vec<u64>,
+    /// Somebody submits or cancels: the sync that waits is not put off for others to join.
+    sync_soon: bool,
     doing: HashMap<u64, Doing>,
     next_call: u64,
     /// When the service last answered us with anything but a refusal.
@@ -411,9 +414,11 @@
             batch_after: now,
             follow_in_flight: false,
             follow_after: now,
+            follow_pause: FOLLOWER_PAUSE,
             sync_in_flight: false,
             sync_after: now,
             sync_wanted: Vec::new(),
+            sync_soon: false,
             doing: HashMap::new(),
             next_call: 0,
             last_ok: None,
@@ -426,8 +431,9 @@
         core
     }
 
-    /// The leader has the larger part of the budget.
+    /// The leader has the larger part of the budget, and hears of changes sooner.
     pub fn set_leading(&mut self, leading: bool, now: Instant) {
+        self.follow_pause = if leading { FOLLOW_PAUSE } else { FOLLOWER_PAUSE };
         let nodes = self.names.len() as f64;
         let share = if nodes <= 1.0 {
             1.0
@@ -491,6 +497,17 @@
         self.sync_wanted.push(ticket);
     }
 
+    /// The same for a change that a user waits for.
+    pub fn sync_soon(&mut self, ticket: u64) {
+        self.sync_soon = true;
+        self.sync(ticket);
+    }
+
+    /// When the sync that is wanted may go.
+    fn sync_due(&self) -> Instant {
+        if self.sync_soon { self.sync_after } else { self.sync_after + SYNC_JOINED }
+    }
+
     pub fn push(&mut self, item: Item) {
         self.origins.insert(item.origin.clone());
         let at = self.items.partition_point(|other| other.rank <= item.rank);
@@ -529,10 +546,11 @@
         let spare = 2.0;
         if !self.sync_in_flight
             && !self.sync_wanted.is_empty()
-            && now >= self.sync_after
+            && now >= self.sync_due()
             && self.requests.has(1.0 + spare, now)
         {
             self.sync_in_flight = true;
+            self.sync_soon = false;
             let tickets = std::mem::take(&mut self.sync_wanted);
             let call = StateCall::Follow { after: self.cache.rev, wait: Duration::ZERO };
             self.call(call, Doing::Sync { tickets, sent: now }, now);
@@ -608,7 +626,7 @@
             due.push(self.follow_after);
         }
         if !self.sync_in_flight && !self.sync_wanted.is_empty() {
-            due.push(self.sync_after);
+            due.push(self.sync_due());
         }
         if !self.batch_in_flight && !self.items.is_empty() {
             due.push(self.batch_after);
@@ -637,7 +655,7 @@
                 self.follow_in_flight = false;
                 match reply {
                     StateReply::News(news) => {
-                        self.follow_after = now + FOLLOW_PAUSE;
+                        self.follow_after = now + self.follow_pause;
                         self.take_news(news);
                     }
                     StateReply::Gone => self.reload(),
