The sync of a submission that names jobs goes beside its commit

Change: both go at once and the answer comes when both are there; the sync is asked after the request, so whatever users were told before shows.

--- a/src/api.rs
+++ b/src/api.rs
@@ -135,8 +135,13 @@
     since: Instant,
     /// What is being committed are parts of its description, and more is to follow.
     in_parts: bool,
-    /// It is accepted, and the answer waits for news of what the job names.
+    /// A submission that names jobs: the sync that goes beside its commit has brought news of them,
+    /// and it is accepted. What it names may have been cancelled, and a user been told, a moment ago
+    /// elsewhere; the answer has to say so, and comes when both are there.
+    synced: bool,
     accepted: bool,
+    /// Its commit is under way.
+    committing: bool,
     /// A cancellation waits for promises of other controllers until then.
     promises_until: Option<Instant>,
 }
@@ -257,7 +262,9 @@
                 deadline,
                 since: now,
                 in_parts: false,
+                synced: false,
                 accepted: false,
+                committing: false,
                 promises_until: None,
             },
         );
@@ -344,6 +351,14 @@
                 return Some(self.finish(ticket, response));
             }
         };
+        if let Some(waiting) = self.waiting.get_mut(&ticket) {
+            waiting.committing = true;
+            waiting.synced |= fresh;
+            let names = matches!(&waiting.wish, Wish::Submit(spec) if spec.needs.is_some());
+            if names && !waiting.synced {
+                state.sync_soon(ticket);
+            }
+        }
         state.push(Item { rank: Rank::User, origin: Origin::User(ticket), change });
         None
     }
@@ -393,7 +408,7 @@
         let due: Vec<u64> = due.map(|(ticket, _)| *ticket).collect();
         let mut answers = Vec::new();
         for ticket in due {
-            if !state.has_item(&Origin::User(ticket))
+            if self.waiting.get(&ticket).is_some_and(|waiting| !waiting.committing)
                 && let Some(response) = self.act(ticket, false, state, now)
             {
                 answers.push((ticket, response));
@@ -416,6 +431,12 @@
         state: &mut StateCore,
         now: Instant,
     ) -> Option<Response> {
+        if let Some(waiting) = self.waiting.get_mut(&ticket)
+            && waiting.committing
+        {
+            waiting.synced = true;
+            return None;
+        }
         self.act(ticket, true, state, now)
     }
 
@@ -426,6 +447,7 @@
         state: &mut StateCore,
         now: Instant,
     ) -> Option<Response> {
+        self.waiting.get_mut(&ticket)?.committing = false;
         if outcome == Outcome::Invalid {
             // The state service will never take it as it is; the log says what.
             let response = self.later();
@@ -433,11 +455,7 @@
         }
         if outcome != Outcome::Committed {
             // Done by somebody else, perhaps done, or not done: read again, then decide again.
-            return if self.waiting.contains_key(&ticket) {
-                self.sync(ticket, state)
-            } else {
-                None
-            };
+            return self.sync(ticket, state);
         }
         let waiting = self.waiting.get(&ticket)?;
         if waiting.in_parts {
@@ -445,12 +463,10 @@
         }
         if let Wish::Submit(spec) = &waiting.wish
             && spec.needs.is_some()
-            && !waiting.accepted
+            && !waiting.synced
         {
-            // What it names may have been cancelled, and a user been told, a moment ago elsewhere: the
-            // answer has to say so.
             self.waiting.get_mut(&ticket)?.accepted = true;
-            return self.sync(ticket, state);
+            return None;
         }
         let (id, status, code) = match &waiting.wish {
             Wish::Submit(spec) => (spec.id.clone(), JobStatus::Queued, 201),
