Machines that answer nobody are given back before their lease ends

Change: a worker whose report is late is asked whether it lives; one that does not answer, while others of its zone are heard after the question and nobody tells that it answers elsewhere, is deleted, which proves that nothing runs there. Only for replicas and for unconfirmed machines, only where the lease would take 8 s more, never for a zone that is cut off, never by a process that falls behind.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -109,6 +109,17 @@
 pub const FIRST_SESSION: u64 = 1;
 /// Timeout of a direct command to a worker.
 pub const WORKER_TIMEOUT: Duration = Duration::from_millis(3000);
+/// A report is late after so many of its intervals: PROTOCOL varies each by a quarter.
+pub const REPORT_LATE: f64 = 1.25;
+/// Added to the above: a lost packet and its resend.
+pub const REPORT_LATE_MORE: Duration = Duration::from_millis(1000);
+/// Timeout of the question whether a worker lives.
+pub const STATUS_TIMEOUT: Duration = Duration::from_millis(1500);
+/// A machine that answers nobody is given back at once if waiting for the end of its lease would take
+/// longer than this: about twice what its tasks take to start elsewhere, with an image.
+pub const LOST_WORTH: Duration = Duration::from_secs(8);
+/// For so long after a late tick a process takes no silence for anybody's death.
+pub const BEHIND_FOR: Duration = Duration::from_secs(3);
 /// Added to a worker's lease before its tasks count as dead: packet and timer delays.
 pub const WORKER_MARGIN: Duration = Duration::from_millis(1500);
 /// Count. Orders in one answer to a worker, which keeps it far below 64 KiB.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -125,7 +125,10 @@
     pub failed_jobs: HashSet<crate::ids::JobId>,
     /// Enough jobs failed here that do well elsewhere.
     pub faulty: bool,
+    /// When the last question that it did not answer had been put to it, if it has told nothing since.
+    pub asked_in_vain: Option<Instant>,
     pub direct_in_flight: bool,
+    pub direct_sent: Instant,
     pub direct_after: Instant,
     /// A start or a stop may be owed to it. Among hundreds of machines few have any, and each
     /// look at all that runs on all of them would cost more than everything else.
@@ -186,7 +189,9 @@
             image_ids: Images::default(),
             failed_jobs: HashSet::new(),
             faulty: false,
+            asked_in_vain: None,
             direct_in_flight: false,
+            direct_sent: now,
             direct_after: now,
             owed: true,
             usage: None,
@@ -210,6 +215,7 @@
         self.owed = true;
         self.token = self.token.max(report.token);
         self.heard = Some(now);
+        self.asked_in_vain = None;
         if self.life == Life::Booting {
             self.life = Life::Up;
         }
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -29,6 +29,7 @@
 
 mod asks;
 mod chains;
+mod lost;
 mod moves;
 mod stops;
 mod tidy;
@@ -178,6 +179,8 @@
     low_starts: Bucket,
     low_rate: f64,
     paced_at: Instant,
+    /// When this process last fell behind.
+    behind_at: Option<Instant>,
     /// When marks of jobs that go on are written next.
     marks_at: Instant,
     /// Tasks that the last planning round left waiting, by cause: for the log.
@@ -235,6 +238,7 @@
             low_starts: Bucket::new(LOW_RATE_FIRST, 1.0, now),
             low_rate: LOW_RATE_FIRST,
             paced_at: now,
+            behind_at: None,
             marks_at: now,
             waits: BTreeMap::new(),
             wall,
@@ -951,6 +955,9 @@
             return;
         }
         self.paced_at = now + PACE_EVERY;
+        if late > LATE {
+            self.behind_at = Some(now);
+        }
         let rate = if late > LATE { self.low_rate / 2.0 } else { self.low_rate + LOW_RATE_STEP };
         self.low_rate = rate.clamp(LOW_RATE_LEAST, LOW_RATE_MOST);
         self.low_starts.set_rate(self.low_rate, now);
@@ -1037,6 +1044,7 @@
         let lease = self.settings.worker_lease();
         let cut_off = self.cut_off_zones(now);
         self.weigh_failures(cache, now);
+        self.give_up_lost(&cut_off, cache, now);
         let overtaken = self.overtaken();
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
@@ -1122,6 +1130,7 @@
     }
 
     fn send_direct(&mut self, now: Instant) {
+        let late = self.late_after();
         for machine in self.machines.values_mut() {
             let Some(address) = machine.address else { continue };
             if machine.direct_in_flight
@@ -1138,7 +1147,7 @@
                     // take-over most of a second.
                     let session = Some(FIRST_SESSION);
                     let orders = Orders { token: self.token, session, orders: Vec::new() };
-                    machine.direct_in_flight = true;
+                    (machine.direct_in_flight, machine.direct_sent) = (true, now);
                     self.direct.push((machine.id.clone(), address, Direct::Do(orders)));
                 }
                 continue;
@@ -1146,15 +1155,15 @@
             let orders = if machine.owed { machine.starts_and_stops() } else { Vec::new() };
             machine.owed = !orders.is_empty();
             if orders.is_empty() && machine.confirmed {
-                if machine.lent {
-                    // Its answer will show that it is in our reach again.
-                    machine.direct_in_flight = true;
+                if machine.lent || machine.silent_for(now) > late {
+                    // Its answer will show that it is in our reach again, or that it lives.
+                    (machine.direct_in_flight, machine.direct_sent) = (true, now);
                     self.direct.push((machine.id.clone(), address, Direct::Status));
                 }
                 continue;
             }
             machine.note_flying(&orders, 1);
-            machine.direct_in_flight = true;
+            (machine.direct_in_flight, machine.direct_sent) = (true, now);
             let session = Some(machine.session);
             let orders = Orders { token: self.token, session, orders };
             self.direct.push((machine.id.clone(), address, Direct::Do(orders)));
@@ -1182,6 +1191,7 @@
                 self.take_report(&report, cache, now)
             }
             _ => {
+                machine.asked_in_vain = Some(machine.direct_sent);
                 machine.direct_after = now + RETRY_FIRST * 2;
                 true
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -897,10 +897,13 @@
                 }
                 Effect::Direct(machine, address, direct) => {
                     let (client, events) = (client.clone(), events.clone());
+                    let within = match direct {
+                        Direct::Status => STATUS_TIMEOUT,
+                        Direct::Do(_) => WORKER_TIMEOUT,
+                    };
                     tokio::spawn(async move {
                         let event =
-                            send_direct(&client, machine, address, direct, now + WORKER_TIMEOUT)
-                                .await;
+                            send_direct(&client, machine, address, direct, now + within).await;
                         let _ = events.send(event);
                     });
                 }
