A test of a zone cut off from everything; who has nothing there cancels at once

Need: the rule ran_cancelled in a cut has to be shown, not only argued. The test found that a leader that is asked itself did not use what it knows, so that users of jobs with nothing behind the cut waited as well. Change: controllers' world can cut a zone off from everything; tasks that outlive a cancellation are looked for at all times, not only at starts.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -888,21 +888,29 @@
 
     /// In which zones a job may have tasks. None are started elsewhere for a while, so that a user who
     /// cancels it need not wait for a zone that has none.
-    pub fn zones_of(&mut self, id: &JobId, now: Instant) -> Vec<String> {
+    pub fn zones_of(&mut self, id: &JobId, cache: &Cache, now: Instant) -> Vec<String> {
         self.held.retain(|_, until| now < *until);
         self.held.insert(id.clone(), now + CANCEL_HOLD);
         let old = self.work.get(id).is_none_or(|work| work.old);
         let from = (TaskId { job: id.clone(), index: 0 }, Attempt(0));
         let to = (TaskId { job: id.clone(), index: u32::MAX }, Attempt(u64::MAX));
+        let names = &self.settings.platform.params.zones;
+        let spec = cache.jobs.get(id).and_then(Job::live).map(|job| &job.spec);
+        let may = |machine: &Machine| {
+            spec.is_none_or(|spec| {
+                let zone = spec.zone.as_ref().is_none_or(|zone| *zone == names[machine.zone]);
+                zone && (spec.spot || !machine.spot)
+            })
+        };
         let mut zones: BTreeSet<usize> = BTreeSet::new();
         for machine in self.machines.values() {
             let mut entries = machine.entries.range(from.clone()..=to.clone());
             // What a predecessor started there no report may have shown yet.
-            if (old && !machine.confirmed) || entries.any(|(_, e)| e.state != TaskState::Exited) {
+            let unsure = old && !machine.confirmed && may(machine);
+            if unsure || entries.any(|(_, e)| e.state != TaskState::Exited) {
                 zones.insert(machine.zone);
             }
         }
-        let names = &self.settings.platform.params.zones;
         zones.into_iter().map(|zone| names[zone].clone()).collect()
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,7 +19,7 @@
 };
 use crate::vouch::Voucher;
 use crate::wire::{self, Data, Guard, Misdirected, Orders, Report, Write};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -310,7 +310,8 @@
         self.api.given.promise(&jobs);
         let acts = self.election.may_act(now);
         let placed = self.foreman.as_mut().filter(|_| acts).map(|foreman| {
-            let zones = jobs.iter().map(|id| foreman.zones_of(id, now)).collect();
+            let zones =
+                jobs.iter().map(|id| foreman.zones_of(id, &self.state.cache, now)).collect();
             (foreman.leader_rev(), zones)
         });
         let me = self.settings.platform.host_name.clone();
@@ -329,9 +330,23 @@
     /// Asks other controllers for promises, over the mesh or, where that is cut, by way of the store.
     fn ask_promises(&mut self, now: Instant) {
         let mut by_peer: BTreeMap<NodeName, Vec<JobId>> = BTreeMap::new();
+        let mut jobs: BTreeSet<JobId> = BTreeSet::new();
         for (peer, job) in std::mem::take(&mut self.api.asks) {
+            jobs.insert(job.clone());
             by_peer.entry(peer).or_default().push(job);
         }
+        if self.election.may_act(now)
+            && let Some(foreman) = &mut self.foreman
+        {
+            // The leader need not ask itself where their tasks are.
+            self.mesh_seq += 1;
+            self.api.promises.ask(self.mesh_seq, now);
+            for id in &jobs {
+                let zones = foreman.zones_of(id, &self.state.cache, now);
+                self.api.promises.placed(foreman.leader_rev(), self.mesh_seq, id, zones);
+            }
+            self.look_at_promises(now);
+        }
         for (peer, jobs) in by_peer {
             if !self.state.cache.presences.contains_key(&peer) {
                 // Nothing reaches it that it would understand for sure.
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -45,13 +45,14 @@
         })
         .collect();
     let text = format!(
-        r#"{{"host_name":"n-{node}","listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
+        r#"{{"host_name":"n-{node}","location":"{}","listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
         "others":[{}],"external":{{"cloud":"127.0.0.1:8","state":"127.0.0.1:9"}},
         "params":{{"zones":["a","b"],"teams":[{{"name":"t","cpus":40.0,"cpus_max":48.0}}],
         "workers":{{"report_s":2.0,"lease_s":14.0,"cancel_s":32.0}},
         "state":{{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":12,
         "next":{{"write_rps":42.0,"value_kb":2.0,"txn_ops":4}}}},
         "cloud":{{"rps":5.0,"list_lag_s":3.0}},"resources":{{"max_sockets":700}}}}}}"#,
+        ZONES[World::node_zone(node)],
         others.join(",")
     );
     Arc::new(Settings::parse(&text, old.then_some("hold_format: true")).unwrap())
@@ -180,6 +181,8 @@
     CutZones(bool),
     /// Between the leader and the workers of zone b, but not among nodes.
     CutWorkers(bool),
+    /// Between zone b and everything, the state service, the cloud and users included.
+    Island(bool),
     Outage(bool),
     TakeMachine,
     /// All spot machines, without notice.
@@ -257,6 +260,8 @@
     /// When its user asked to cancel it.
     asked_abort: bool,
     told_cancelled: Option<u64>,
+    /// How often its user was told to ask again to cancel it.
+    put_off: u32,
     told_done: bool,
     /// Submitted with a mistake: it fails wherever it runs.
     broken: bool,
@@ -287,6 +292,7 @@
     finished: HashMap<TaskId, bool>,
     cut_node: [bool; NODES],
     cut_zones: bool,
+    island: bool,
     cut_workers: Option<usize>,
     deaf: Option<usize>,
     refused: Option<usize>,
@@ -341,6 +347,7 @@
             finished: HashMap::new(),
             cut_node: [false; NODES],
             cut_zones: false,
+            island: false,
             cut_workers: None,
             deaf: None,
             refused: None,
@@ -398,7 +405,13 @@
     }
 
     fn cut(&self, node: usize, zone: usize) -> bool {
-        self.cut_node[node] || (self.cut_zones && Self::node_zone(node) != zone)
+        let zones = self.cut_zones || self.island;
+        self.cut_node[node] || (zones && Self::node_zone(node) != zone)
+    }
+
+    /// Whether a node stands in a zone that is cut off from all that stands in none.
+    fn on_island(&self, node: usize) -> bool {
+        self.island && Self::node_zone(node) == 1
     }
 
     /// Whether a node and the workers of a zone cannot reach each other.
@@ -472,7 +485,7 @@
             Due::Fault(fault) => self.fault(fault),
             Due::User(job) => self.user(job),
             Due::UserAsks(node, job, request) => {
-                if self.cut_node[node] || self.down[node] {
+                if self.cut_node[node] || self.down[node] || self.on_island(node) {
                     return;
                 }
                 let asked = self.jobs[&job].asked.map_or(0, |(at, _)| at);
@@ -522,7 +535,9 @@
                     {
                         self.soon(Due::HelloAnswer(machine, id, response));
                     }
-                    Some(Ticket::User(job, asked)) if !self.cut_node[node] => {
+                    Some(Ticket::User(job, asked))
+                        if !self.cut_node[node] && !self.on_island(node) =>
+                    {
                         self.soon(Due::UserAnswer(job, asked, response));
                     }
                     _ => {}
@@ -556,6 +571,14 @@
     // ---- the state service ---------------------------------------------------------------
 
     fn state(&mut self, node: usize, incarnation: u32, id: u64, call: StateCall) {
+        if self.on_island(node) {
+            let gives_up = Event::State(id, StateReply::Unknown);
+            if matches!(call, StateCall::Commit(_)) {
+                // Held back, and applied when the cut ends.
+                self.held.push(Due::State(node, incarnation, id, call));
+            }
+            return self.at(self.t + 1500, Due::Node(node, incarnation, gives_up));
+        }
         let reply = if self.store.out || self.refused == Some(node) {
             if let StateCall::Follow { after, wait } = &call
                 && !wait.is_zero()
@@ -744,6 +767,10 @@
     // ---- the cloud -------------------------------------------------------------------------
 
     fn cloud(&mut self, node: usize, incarnation: u32, id: u64, call: CloudCall) {
+        if self.on_island(node) {
+            let gives_up = Event::Cloud(id, Err(CallError::Unknown));
+            return self.at(self.t + 4000, Due::Node(node, incarnation, gives_up));
+        }
         if self.cloud_out {
             let body = wire::encode(&wire::CloudError { error: "trouble".into() });
             let refusal = Ok(Response::with(503, body));
@@ -864,6 +891,15 @@
             worker.renewed = t;
             worker.changed = true;
         }
+        let outlives = |(task, running): (&TaskId, &Running)| {
+            let told = self.jobs[&Self::number(&task.job)].told_cancelled;
+            let late = told.is_some_and(|at| t > at + CANCEL_MS);
+            (late && running.state != TaskState::Exited).then(|| task.clone())
+        };
+        if let Some(task) = worker.tasks.iter().find_map(outlives) {
+            self.break_rule(format!("ran_cancelled: {task} is still there"));
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
         let mut finished = Vec::new();
         for (task, running) in &mut worker.tasks {
             if running.state == TaskState::Fetching && running.ready_at <= t {
@@ -1137,6 +1173,7 @@
             abort_at,
             asked_abort: false,
             told_cancelled: None,
+            put_off: 0,
             told_done: false,
             broken: false,
             asked: None,
@@ -1192,6 +1229,7 @@
         // An answer to a request that was given up finds its connection closed.
         let Some((_, kind)) = job.asked.take_if(|(at, _)| *at == asked) else { return };
         if matches!(response.status, 503 | 599) {
+            job.put_off += u32::from(kind == 2 && response.status == 503);
             return;
         }
         job.last_good = t;
@@ -1241,6 +1279,7 @@
             }
             Fault::CutNode(node, on) => self.cut_node[node] = on,
             Fault::CutZones(on) => self.cut_zones = on,
+            Fault::Island(on) => self.island = on,
             Fault::CutWorkers(on) => {
                 let leads =
                     |node: &Option<Node>| node.as_ref().is_some_and(|n| n.foreman.is_some());
@@ -1465,6 +1504,61 @@
     }
 }
 
+/// A zone is cut off from everything for longer than its controller could answer by its last news of
+/// the store alone: nothing there is lost, and whatever users are told to be cancelled is gone in time.
+/// Whoever asks to cancel what may have tasks there waits; nobody else does.
+#[test]
+fn a_zone_cut_off_from_everything_keeps_its_work_and_outlives_no_cancellation() {
+    let (mut inside, mut told_in_the_cut, mut put_off) = (0, 0, 0);
+    for seed in 400..416 {
+        let random = &mut StdRng::seed_from_u64(seed);
+        let mut world = World::new(seed);
+        for n in 0..4 {
+            // Some are cancelled within a second of the cut, when nobody knows of it yet.
+            let near = random.random_range(29_500..31_500);
+            let at = if random.random() { near } else { random.random_range(28_000..75_000) };
+            world.submit_at(3000, n, true, (n < 3).then_some(at));
+        }
+        world.submit_at(3000, 4, true, Some(50_000));
+        world.jobs.get_mut(&4).unwrap().spec.spread = false;
+        world.jobs.get_mut(&4).unwrap().spec.zone = Some("a".into());
+        world.run(30_000);
+        inside += usize::from(world.leader() == 1);
+        world.fault(Fault::Island(true));
+        match seed % 4 {
+            // The leader outside ends while the cut lasts; or the one inside does.
+            0 => world.at(40_000, Due::Fault(Fault::Crash(2 * (seed as usize / 4 % 2)))),
+            1 if seed % 8 == 1 => world.at(45_000, Due::Fault(Fault::Crash(1))),
+            2 => {
+                world.at(42_000, Due::Fault(Fault::Outage(true)));
+                world.at(50_000, Due::Fault(Fault::Outage(false)));
+            }
+            _ => {}
+        }
+        world.at(78_000, Due::Fault(Fault::Island(false)));
+        world.run(78_000);
+        // What has nothing there was cancelled at once, but for an outage or a new leader.
+        let other = &world.jobs[&4];
+        if seed % 4 == 3 {
+            assert!(other.told_cancelled.is_some() && other.put_off == 0, "seed {seed}");
+        }
+        put_off += (0..3).map(|n| world.jobs[&n].put_off).sum::<u32>();
+        told_in_the_cut += (0..3).filter(|n| world.jobs[n].told_cancelled.is_some()).count();
+        world.run(140_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        assert!((0..3).all(|n| world.jobs[&n].told_cancelled.is_some()), "seed {seed}");
+        if seed % 8 != 1 {
+            let lost = world.workers.values().filter(|w| w.zone == 1 && w.session > 1).count();
+            assert_eq!((world.running(3), lost), (4, 0), "seed {seed}");
+        }
+    }
+    // The leader itself was cut off now and then, and cancellations went on in the cut.
+    assert!(
+        inside > 0 && told_in_the_cut > 16 && put_off > 0,
+        "{inside} {told_in_the_cut} {put_off}"
+    );
+}
+
 /// A trouble of 25 s, longer than a worker's lease, that must not cost running work.
 fn survives(seed: u64, begins: Fault, ends: Fault) {
     let mut world = World::new(seed);
