--- a/src/constants.rs
+++ b/src/constants.rs
@@ -223,6 +223,8 @@
 pub const IDLE_RETURN_S: f64 = 10.0;
 /// Default machines' worth of free room kept ready in each zone for critical work.
 pub const WARM_PER_ZONE: f64 = 0.5;
+/// Default share of a zone's machines that is kept free in it, if that is more.
+pub const WARM_SHARE: f64 = 0.015;
 
 /// How long another controller may answer reports on a leader's behalf after it last heard from
 /// it: longer than the cuts between zones that operators see.
--- a/src/foreman/asks.rs
+++ b/src/foreman/asks.rs
@@ -166,9 +166,17 @@
         for machine in self.machines.values().filter(|m| m.life == Life::Up && !m.spot) {
             lent[machine.zone] += machine.low_cpu();
         }
-        let wanted = (self.settings.operator.warm_per_zone * 4.0).round() as u64;
+        // What comes at once grows with the fleet, and so does the room that it finds.
+        let mut up = vec![0.0; zones];
+        for machine in self.machines.values().filter(|m| m.life == Life::Up) {
+            up[machine.zone] += 1.0;
+        }
+        let wanted = |zone: usize| {
+            let share = self.settings.operator.warm_share * up[zone];
+            (self.settings.operator.warm_per_zone.max(share) * 4.0).round() as u64
+        };
         for zone in (0..zones).filter(|zone| !silent[*zone]) {
-            let count = wanted.saturating_sub(lent[zone] / need.cpu.max(1)) as u32;
+            let count = wanted(zone).saturating_sub(lent[zone] / need.cpu.max(1)) as u32;
             if count == 0 {
                 continue;
             }
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -22,13 +22,28 @@
     flavor: usize,
     spot: bool,
     free: Amount,
+    images: placement::Images,
     victims: Vec<Victim>,
 }
 
 /// What could make way, looked up once for many asks and only if anything is to be stopped:
 /// machines hold dozens of a guest's small tasks each.
 #[derive(Default)]
-pub(super) struct Stoppable(Option<Vec<Source>>);
+pub(super) struct Stoppable {
+    sources: Option<Vec<Source>>,
+    /// Asks for which nothing could make way: room for others alike was looked for in vain, and what
+    /// could make way only gets less within a pass.
+    hopeless: Vec<Ask>,
+}
+
+/// Whether what nothing makes way for on behalf of one has nothing for the other either.
+fn alike(a: &Ask, b: &Ask) -> bool {
+    let closed = |room: &u32| *room == 0;
+    (a.urgency, a.need, a.zone, a.spot) == (b.urgency, b.need, b.zone, b.spot)
+        && a.flavors == b.flavors
+        && a.avoid == b.avoid
+        && a.zone_room.iter().map(closed).eq(b.zone_room.iter().map(closed))
+}
 
 impl Foreman {
     /// Stops less urgent tasks where that makes room for urgent ones that found none: on a
@@ -127,6 +142,7 @@
                 flavor: machine.flavor,
                 spot: machine.spot,
                 free: self.size(machine.flavor).minus(&machine.used()),
+                images: machine.image_ids.clone(),
                 victims,
             });
         }
@@ -155,17 +171,16 @@
         cache: &Cache,
         now: Instant,
     ) -> u64 {
-        if count == 0 {
+        if count == 0 || (!warm && stoppable.hopeless.iter().any(|other| alike(ask, other))) {
             return 0;
         }
         // Saving goes on for as long as the urgent task waits for the room.
         let patience_s = ask.within_s.unwrap_or(f64::INFINITY) * SAVE_SHARE;
-        let sources = stoppable.0.get_or_insert_with(|| self.sources(cache, now));
+        let sources = stoppable.sources.get_or_insert_with(|| self.sources(cache, now));
         // Room that is made on one machine changes what it costs there alone, so each is looked at
         // once and again after each choice of it.
         let look = |source: &Source| {
-            let known = |machine: &Machine| machine.image_ids.contains(&ask.image);
-            let cold = !self.machines.get(&source.id).is_some_and(known);
+            let cold = !source.images.contains(&ask.image);
             source.way(ask, patience_s, cold, warm)
         };
         let mut ways: BTreeMap<(Price, usize), Way> = BTreeMap::new();
@@ -194,6 +209,9 @@
             }
         }
         let made = chosen.len() as u64;
+        if made < count && !warm {
+            stoppable.hopeless.push(ask.clone());
+        }
         for (id, stopped) in chosen {
             let Some(machine) = self.machines.get_mut(&id) else { continue };
             for (key, grace_s) in stopped {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -180,6 +180,7 @@
     pub hold_s: f64,
     pub idle_return_s: f64,
     pub warm_per_zone: f64,
+    pub warm_share: f64,
     pub hold_format: bool,
     pub log_format: LogFormat,
 }
@@ -192,6 +193,7 @@
             hold_s: HOLD_S,
             idle_return_s: IDLE_RETURN_S,
             warm_per_zone: WARM_PER_ZONE,
+            warm_share: WARM_SHARE,
             hold_format: false,
             log_format: LogFormat::Text,
         }
@@ -268,6 +270,7 @@
         range("hold_s", o.hold_s, 0.0, 3600.0);
         range("idle_return_s", o.idle_return_s, 0.0, 86_400.0);
         range("warm_per_zone", o.warm_per_zone, 0.0, 1000.0);
+        range("warm_share", o.warm_share, 0.0, 1.0);
         for team in &p.teams {
             range(&format!("team {} cpus", team.name), team.cpus, 0.0, 1e9);
             range(&format!("team {} cpus_max", team.name), team.cpus_max, 0.0, 1e9);
