Silence before a way was open proves nothing; short leases are waited for

Change: a question that a machine did not answer counts only if others of its zone were heard at about that time; replicas are given up only where the lease would take 15 s more.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -118,6 +118,9 @@
 /// A machine that answers nobody is given back at once if waiting for the end of its lease would take
 /// longer than this: about twice what its tasks take to start elsewhere, with an image.
 pub const LOST_WORTH: Duration = Duration::from_secs(8);
+/// The same for replicas on a machine that may be cut off alone: they run on until its lease ends, and
+/// being given back costs them a start. Where leases are short, waiting is the smaller loss.
+pub const LOST_REPLICAS_WORTH: Duration = Duration::from_secs(15);
 /// For so long after a late tick a process takes no silence for anybody's death.
 pub const BEHIND_FOR: Duration = Duration::from_secs(3);
 /// Added to a worker's lease before its tasks count as dead: packet and timer delays.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -129,6 +129,8 @@
     pub asked_in_vain: Option<Instant>,
     pub direct_in_flight: bool,
     pub direct_sent: Instant,
+    /// Others of its zone were heard at about that time: the way there was open.
+    pub asked_openly: bool,
     pub direct_after: Instant,
     /// A start or a stop may be owed to it. Among hundreds of machines few have any, and each
     /// look at all that runs on all of them would cost more than everything else.
@@ -192,6 +194,7 @@
             asked_in_vain: None,
             direct_in_flight: false,
             direct_sent: now,
+            asked_openly: false,
             direct_after: now,
             owed: true,
             usage: None,
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -175,6 +175,8 @@
     consolidate_at: Instant,
     /// When each zone was last found silent.
     zone_silent_at: Vec<Option<Instant>>,
+    /// When any worker of each zone was last heard.
+    zone_heard: Vec<Option<Instant>>,
     /// Starts of least urgent tasks, and how many a second they may be.
     low_starts: Bucket,
     low_rate: f64,
@@ -215,6 +217,7 @@
             token,
             grants: Grants::new(token, peers, now),
             zone_silent_at: vec![None; zones],
+            zone_heard: vec![None; zones],
             leader_rev,
             since: now,
             counter: 0,
@@ -365,6 +368,7 @@
             tracing::info!(machine = %machine.id, notice_s = report.notice_s, "spot notice");
         }
         // Most reports say what is known already and change no plan.
+        self.zone_heard[machine.zone] = Some(now);
         let news = !facts.is_empty()
             || usable(machine) != before
             || had_notice != machine.recall_at.is_some();
@@ -1139,7 +1143,14 @@
 
     fn send_direct(&mut self, now: Instant) {
         let late = self.late_after();
+        let open: Vec<bool> = self
+            .zone_heard
+            .iter()
+            .map(|at| at.is_some_and(|at| now < at + self.settings.report_every()))
+            .collect();
         for machine in self.machines.values_mut() {
+            machine.asked_openly &= machine.direct_in_flight;
+            machine.asked_openly |= !machine.direct_in_flight && open[machine.zone];
             let Some(address) = machine.address else { continue };
             if machine.direct_in_flight
                 || now < machine.direct_after
@@ -1199,7 +1210,9 @@
                 self.take_report(&report, cache, now)
             }
             _ => {
-                machine.asked_in_vain = Some(machine.direct_sent);
+                if machine.asked_openly {
+                    machine.asked_in_vain = Some(machine.direct_sent);
+                }
                 machine.direct_after = now + RETRY_FIRST * 2;
                 true
             }
--- a/src/foreman/lost.rs
+++ b/src/foreman/lost.rs
@@ -40,7 +40,8 @@
                 && !cut_off[zone];
             let told = self.grants.told(&machine.id);
             let elsewhere = told.is_some_and(|at| machine.heard.is_none_or(|heard| at > heard));
-            let waits = lease.saturating_sub(silence) > LOST_WORTH;
+            let worth = if machine.confirmed { LOST_REPLICAS_WORTH } else { LOST_WORTH };
+            let waits = lease.saturating_sub(silence) > worth;
             if machine.life == Life::Up
                 && silence > late
                 && alone
