--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1949,6 +1949,46 @@
         assert!((50..200).contains(&slow), "{slow}");
     }
 
+    /// A machine with replicas that answers nobody is given back long before its lease is over, if the
+    /// way to its zone was open when it was asked; what was asked during a cut proves nothing.
+    #[test]
+    fn a_machine_that_answers_nobody_is_given_back_only_if_others_are_heard() {
+        for open in [true, false] {
+            let mut bench = Bench::new();
+            let mut settings = Settings::clone(&bench.foreman.settings);
+            settings.platform.params.workers.lease_s = 60.0;
+            bench.foreman.settings = Arc::new(settings);
+            let machines = ["i-1", "i-2", "i-3"];
+            machines.iter().for_each(|machine| drop(bench.report(machine, vec![])));
+            bench.job("wk-1", Shape::Service, 1);
+            bench.pass(PLAN_EVERY * 5);
+            let orders = bench.report("i-1", vec![]);
+            let running = shown(&orders, TaskState::Running);
+            assert_eq!(running.len(), 1);
+            bench.report("i-1", running);
+            let late = bench.foreman.late_after();
+            let until = bench.now + late * 3;
+            while bench.now < until {
+                // Behind a cut nobody is heard, until it ends.
+                if open || bench.now + TICK_MOST * 2 >= until {
+                    machines[1..].iter().for_each(|machine| drop(bench.report(machine, vec![])));
+                }
+                bench.pass(TICK_MOST);
+                for (id, _, direct) in std::mem::take(&mut bench.foreman.direct) {
+                    let sent = match direct {
+                        Direct::Do(orders) => Some(orders),
+                        Direct::Status => None,
+                    };
+                    let gave_up = Err(crate::http::CallError::Unknown);
+                    let (cache, now) = (&bench.state.cache, bench.now);
+                    bench.foreman.on_direct(&id, sent.as_ref(), gave_up, cache, now);
+                }
+            }
+            let life = bench.foreman.machines[&MachineId::new("i-1")].life;
+            assert_eq!(life == Life::Returning, open);
+        }
+    }
+
     /// A trial of one task would leave a gang's other tasks out.
     #[test]
     fn a_gang_that_fails_everywhere_is_tried_as_a_whole() {
