Reread: two revisions of one key in a transaction go one after the other

Cause: found by rereading. Besides: the newest report of a zone is kept in one place, an entry is looked up once when a task is adopted.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -439,9 +439,8 @@
         machine.owed = true;
         let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) else { return };
         (entry.team, entry.need, entry.image, entry.urgency) = (team, need, image, urgency);
-        machine.entries_changed();
-        let Some(entry) = machine.entries.get(&(task.clone(), attempt)) else { return };
         let exited = entry.state == TaskState::Exited;
+        machine.entries_changed();
         let key = (task.clone(), attempt);
         let Some(work) = work else {
             return machine.stop(&key, Stop { grace_s: 0.0, reason: OVER });
@@ -761,7 +760,7 @@
             let Some(job) = state.cache.jobs.get(id) else { continue };
             let tasks: Vec<u32> = work.completing.iter().copied().collect();
             let Some(done) = jobs::complete(id, job, &tasks, now_ms, &layout) else { continue };
-            if !(done.ends || marks && !state.is_behind()) {
+            if !done.ends && (!marks || state.is_behind()) {
                 continue;
             }
             let mut change = done.change;
--- a/src/foreman/lost.rs
+++ b/src/foreman/lost.rs
@@ -19,11 +19,9 @@
         }
         let late = self.late_after();
         let zones = cut_off.len();
-        // The newest report from each zone, and how many of its machines are late.
-        let mut newest: Vec<Option<Instant>> = vec![None; zones];
+        // How many machines of each zone are late.
         let (mut up, mut silent) = (vec![0usize; zones], vec![0usize; zones]);
         for machine in self.machines.values().filter(|m| m.life == Life::Up) {
-            newest[machine.zone] = newest[machine.zone].max(machine.heard);
             up[machine.zone] += 1;
             silent[machine.zone] += usize::from(machine.silent_for(now) > late);
         }
@@ -35,7 +33,7 @@
             let silence = machine.silent_for(now);
             // Others of its zone were heard after it had been asked in vain, so that it is not the way
             // there that is cut; and nobody tells that it answers elsewhere.
-            let alone = newest[zone].is_some_and(|at| at > asked)
+            let alone = self.zone_heard[zone].is_some_and(|at| at > asked)
                 && silent[zone] * 2 <= up[zone]
                 && !cut_off[zone];
             let told = self.grants.told(&machine.id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -615,7 +615,12 @@
                     && bytes + size < BODY_MAX / 2);
             // Later items wait too once one didn't fit, so that none is overtaken for ever.
             let shares = item.change.writes.iter().any(|write| keys.contains(write.key()));
-            if !fits || shares || (!left.is_empty() && taken.len() > self.limits.txn_ops) {
+            // Guards of one key are sent once: two that differ would have one of them unchecked.
+            let clashes = item.change.guards.iter().any(|guard| {
+                txn.guards.iter().any(|other| other.key == guard.key && other.rev != guard.rev)
+            });
+            if !fits || shares || clashes || (!left.is_empty() && taken.len() > self.limits.txn_ops)
+            {
                 left.push(item);
                 continue;
             }
