--- a/src/state.rs
+++ b/src/state.rs
@@ -973,6 +973,30 @@
         assert_eq!(seen, 9);
     }
 
+    /// Two cancellations that saw a controller's sign of life before and after it was renewed anew: in
+    /// one transaction only one of the two revisions would be checked.
+    #[test]
+    fn changes_that_saw_a_key_at_two_revisions_go_one_after_the_other() {
+        let now = Instant::now();
+        let mut core = core(now);
+        for (ticket, seen) in [(1, 3), (2, 4), (3, 3)] {
+            let mut item = item(ticket, &format!("t/x/{ticket}"));
+            item.change.guards.push(Guard { key: "t/a/p/m".into(), rev: Revision(seen) });
+            core.push(item);
+        }
+        let seen = |txn: &Txn| -> Vec<Revision> {
+            txn.guards.iter().filter(|g| g.key == "t/a/p/m").map(|g| g.rev).collect()
+        };
+        let (id, txn) = commit(&mut core, now);
+        assert_eq!((txn.writes.len(), seen(&txn)), (2, vec![Revision(3)]));
+        core.on_reply(id, StateReply::Committed(Revision(9)), now);
+        let (id, txn) = commit(&mut core, now);
+        assert_eq!((txn.writes.len(), seen(&txn)), (1, vec![Revision(4)]));
+        core.on_reply(id, StateReply::Conflict(vec!["t/a/p/m".into()]), now);
+        let told = outcomes(&mut core);
+        assert_eq!(told.last(), Some(&(Origin::User(2), Outcome::Conflict)));
+    }
+
     /// Machine types are kept in one value or in one each; either way none is ever forgotten.
     #[test]
     fn machine_types_of_both_layouts_add_up() {
