A new leader learns images from the tasks that it finds running

Cause: a machine's images were learned from its tasks' first report as running, but the tasks that a new leader finds have no image known at that moment, so after each take-over a whole fleet counted as cold. Change: when a found task's job is known, one that runs shows that its image is here; a test without the mend fails.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -260,9 +260,7 @@
                 TaskState::Running if entry.running_since.is_none() => {
                     entry.running_since = Some(now);
                     let image = entry.image.clone();
-                    if !image.is_empty() && !self.images.contains(&image) {
-                        self.images.push(image);
-                    }
+                    has(&mut self.images, image);
                     facts.push(Fact::Running(key.0, key.1));
                 }
                 TaskState::Exited if !entry.settled => facts.push(Fact::Exited {
@@ -293,6 +291,17 @@
         Heard::News(facts)
     }
 
+    /// A predecessor's task was found here, and what it needs is known by now. One that runs or ran
+    /// shows that its image is here: a leader that knew nothing of what its predecessor's tasks
+    /// fetched would have most of a fleet fetch it once more.
+    pub fn adopted(&mut self, key: &(TaskId, Attempt)) {
+        self.usage = None;
+        let Some(entry) = self.entries.get(key) else { return };
+        if entry.running_since.is_some() {
+            has(&mut self.images, entry.image.clone());
+        }
+    }
+
     /// Its session is over (or the machine is gone): nothing of what it had is there any more.
     pub fn lose_all(&mut self) -> Vec<Fact> {
         self.usage = None;
@@ -429,6 +438,12 @@
     }
 }
 
+fn has(images: &mut Vec<Arc<str>>, image: Arc<str>) {
+    if !image.is_empty() && !images.contains(&image) {
+        images.push(image);
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -549,6 +564,24 @@
         assert!(machine.entries.is_empty());
     }
 
+    /// After a take-over most of a fleet was fetched anew: no report says which images a machine has.
+    #[test]
+    fn a_task_that_a_predecessor_started_shows_its_image_once_it_runs() {
+        let mut machine = machine();
+        let now = Instant::now();
+        let found = [(0, 5, TaskState::Running), (1, 6, TaskState::Fetching)];
+        facts(machine.hear(&report(1, 1, &found), OURS, now));
+        for (index, attempt, image) in [(0, 5, "warm"), (1, 6, "cold")] {
+            let key = (task(index), Attempt(attempt));
+            machine.entries.get_mut(&key).unwrap().image = Arc::from(image);
+            machine.adopted(&key);
+        }
+        assert_eq!(machine.images, [Arc::from("warm")]);
+        let both = [(0, 5, TaskState::Running), (1, 6, TaskState::Running)];
+        facts(machine.hear(&report(1, 2, &both), OURS, now));
+        assert_eq!(machine.images, [Arc::from("warm"), Arc::from("cold")]);
+    }
+
     #[test]
     fn a_cancelled_start_that_may_be_on_its_way_is_delivered_and_stopped() {
         let mut machine = machine();
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -440,8 +440,8 @@
         let Some(entry) = machine.entries.get_mut(&(task.clone(), attempt)) else { return };
         (entry.team, entry.need, entry.image, entry.urgency) = (team, need, image, urgency);
         let exited = entry.state == TaskState::Exited;
-        machine.entries_changed();
         let key = (task.clone(), attempt);
+        machine.adopted(&key);
         let Some(work) = work else {
             return machine.stop(&key, Stop { grace_s: 0.0, reason: OVER });
         };
