A workspace: crates/protocol, crates/estimates

Change: ids, wire and HTTP move unchanged to crates/protocol and are re-exported; crates/estimates has histories of runs, estimates with grades, what remains of a job, and a keeper that writes them without counting twice. Result: 20 tests, among them a proptest in which leaders change and answers and writes come late or never; no behaviour of the service changes.

--- /dev/null
+++ b/crates/estimates/src/current.rs
@@ -0,0 +1,176 @@
+//! What a run shows of itself while it goes on.
+
+use crate::constants::*;
+use crate::history::Believed;
+use crate::shape;
+use std::collections::BTreeMap;
+
+/// Run times of one job's tasks: those that ended, and how long those ran that were stopped, killed or
+/// lost (cut off: they would have run longer).
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Current {
+    ended: u32,
+    mean: f64,
+    /// Sum of squared distances from the mean.
+    squares: f64,
+    cut: BTreeMap<i16, u32>,
+}
+
+/// Where the run times of a job lie: of its centre as a logarithm, and of its tasks around it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Centre {
+    pub ln: f64,
+    pub sd: f64,
+    pub within: f64,
+}
+
+impl Centre {
+    /// Seconds that a task takes in the mean, by the centre alone.
+    pub fn mean_s(&self) -> f64 {
+        (self.ln + self.within * self.within / 2.0).exp()
+    }
+}
+
+impl Current {
+    /// A task ran this long to its end.
+    pub fn ended(&mut self, run_s: f64) {
+        let Some(ln) = shape::ln(run_s) else { return };
+        self.ended = self.ended.saturating_add(1);
+        let off = ln - self.mean;
+        self.mean += off / f64::from(self.ended);
+        self.squares += off * (ln - self.mean);
+    }
+
+    /// A task ran this long and was then stopped, killed or lost, or runs on.
+    pub fn cut(&mut self, run_s: f64) {
+        let Some(ln) = shape::ln(run_s) else { return };
+        let count = self.cut.entry((ln / CUT_BIN).floor() as i16).or_default();
+        *count = count.saturating_add(1);
+    }
+
+    /// Tasks that ended.
+    pub fn count(&self) -> u32 {
+        self.ended
+    }
+
+    /// The same with tasks that still run, by how long each has run, in seconds.
+    pub fn with_running(&self, running: &[f64]) -> Current {
+        let mut all = self.clone();
+        running.iter().for_each(|run_s| all.cut(*run_s));
+        all
+    }
+
+    /// Scatter of the tasks, from what is believed of it and what the run shows.
+    fn within(&self, believed: f64) -> f64 {
+        let shown = f64::from(self.ended.saturating_sub(1));
+        let squares = WITHIN_WEIGHT * believed * believed + self.squares;
+        (squares / (WITHIN_WEIGHT + shown)).sqrt().max(WITHIN_LEAST)
+    }
+
+    /// The mean of the logarithms once what was cut off is filled in, each time by what it would
+    /// be expected to be, around a belief of this centre and weight (in tasks).
+    fn filled(&self, start: f64, within: f64, belief: Option<(f64, f64)>) -> f64 {
+        let (centre, weight) = belief.unwrap_or((0.0, 0.0));
+        let mut ln = start;
+        for _ in 0..FILL_ROUNDS {
+            let mut sum = self.mean * f64::from(self.ended) + centre * weight;
+            let mut count = f64::from(self.ended) + weight;
+            for (bin, n) in &self.cut {
+                let at = (f64::from(*bin) + 0.5) * CUT_BIN;
+                let z = (at - ln) / within;
+                if z > -3.0 {
+                    sum += f64::from(*n) * (ln + within * shape::mean_above(z));
+                    count += f64::from(*n);
+                }
+            }
+            if count <= 0.0 {
+                return start;
+            }
+            ln = sum / count;
+        }
+        ln
+    }
+
+    /// Where the centre is, given what is believed of it and what the run shows. Where the two clash the
+    /// run is right: it may be a night of doubled inputs.
+    pub fn centre(&self, believed: &Believed) -> Centre {
+        let within = self.within(believed.within);
+        let mut variance = believed.sd * believed.sd;
+        let own = within * within;
+        if self.ended > 0 {
+            let n = f64::from(self.ended);
+            let alone = self.filled(self.mean, within, None);
+            let off = alone - believed.ln;
+            let errors = off * off / (variance + own / n);
+            if errors > CONFLICT_ERRORS * CONFLICT_ERRORS {
+                variance = variance.max(off * off - own / n);
+            }
+        }
+        let weight = own / variance.max(1e-9);
+        let ln = self.filled(believed.ln, within, Some((believed.ln, weight)));
+        // What is still to be seen of a task that was cut off tells less than its end would.
+        let cut: f64 = self
+            .cut
+            .iter()
+            .map(|(bin, n)| {
+                let z = ((f64::from(*bin) + 0.5) * CUT_BIN - ln) / within;
+                f64::from(*n) * (1.0 - shape::above(z)).min(1.0) / 2.0
+            })
+            .sum();
+        let sd = (own / (weight + f64::from(self.ended) + cut)).sqrt();
+        Centre { ln, sd, within }
+    }
+
+    /// Centre, scatter and number of tasks as history will remember them; none if none ended.
+    pub(crate) fn summary(&self, believed: Option<&Believed>) -> Option<(f64, f64, u32)> {
+        if self.ended == 0 {
+            return None;
+        }
+        let within = self.within(believed.map_or(WITHIN, |known| known.within));
+        Some((self.filled(self.mean, within, None), within, self.ended))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BELIEVED: Believed = Believed { ln: 4.0, sd: 0.12, within: 0.3, runs: 10.0 };
+
+    /// Of an array whose tasks all started together the shortest end first.
+    #[test]
+    fn the_first_to_end_are_not_taken_for_all() {
+        let truth = |n: usize| (4.0 + 0.3 * shape::point((n as f64 + 0.5) / 60.0)).exp();
+        let now = truth(11);
+        let mut current = Current::default();
+        (0..12).for_each(|n| current.ended(truth(n)));
+        let running = [now; 48];
+        let seen = current.with_running(&running).centre(&BELIEVED);
+        assert!((seen.ln - 4.0).abs() < 0.1, "{seen:?}");
+        let naive = current.centre(&BELIEVED);
+        assert!(naive.ln < 3.8, "{naive:?}");
+    }
+
+    #[test]
+    fn a_night_of_doubled_inputs_shows_in_its_first_tasks() {
+        let mut current = Current::default();
+        for run in [95.0, 110.0, 124.0] {
+            current.ended(run);
+        }
+        let seen = current.centre(&BELIEVED);
+        assert!((seen.ln - 109.0f64.ln()).abs() < 0.2, "{seen:?}");
+        // And before any ended, in how long they have been running.
+        let running = Current::default().with_running(&[100.0; 20]).centre(&BELIEVED);
+        assert!(running.ln > 4.15, "{running:?}");
+    }
+
+    #[test]
+    fn hostile_run_times_are_no_run_times() {
+        let mut current = Current::default();
+        for run in [f64::NAN, f64::INFINITY, -1.0, 1e300] {
+            current.ended(run);
+            current.cut(run);
+        }
+        assert_eq!(current, Current::default());
+    }
+}
--- /dev/null
+++ b/crates/estimates/src/keeper.rs
@@ -0,0 +1,342 @@
+//! What is written to the state service and when, so that no observation counts twice and none that was
+//! written is lost.
+//!
+//! A value is written whole: what was kept there, and on top of it what this leader saw since. The write is
+//! guarded by the revision that it builds on and by the leader's key, and bears a stamp that no other write
+//! bears. As long as it is not known whether it was done, what it added is neither added anew nor dropped:
+//! the same write is sent again, and the stamp of what is found in the end tells which it was.
+
+use crate::constants::*;
+use crate::history::{History, Run};
+use crate::learner::AllErrors;
+use crate::value::{Bucket, Errors, Stamp, Unreadable, bucket_of};
+use std::borrow::Cow;
+
+/// A write that is to be done, guarded by the revision of its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    pub bucket: u8,
+    pub value: String,
+    pub rev: u64,
+}
+
+/// What came of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// Done, or refused by a guard: the value that is there now tells which.
+    Settled,
+    /// Perhaps done, perhaps yet to be, or surely not.
+    Unsure,
+    /// Not to be done ever: too large, or malformed.
+    Invalid,
+}
+
+#[derive(Debug)]
+struct Flight {
+    write: Write,
+    stamp: Stamp,
+    /// What it adds to what was kept.
+    adds: Bucket,
+    /// It is to be sent again.
+    again: bool,
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    kept: Bucket,
+    /// Revision of the key, 0 if there is none.
+    rev: u64,
+    /// Seen since and not written yet.
+    delta: Bucket,
+    flight: Option<Flight>,
+    /// A later version's: not to be touched.
+    later: bool,
+    written_ms: Option<u64>,
+    /// Bytes that a value may have here, once one was too large.
+    most: Option<usize>,
+}
+
+/// What is kept at the state service, as far as it is known here, and what is to be written there.
+#[derive(Debug)]
+pub struct Keeper {
+    slots: Vec<Slot>,
+    all: AllErrors,
+    count: u64,
+    written_ms: Option<u64>,
+}
+
+impl Default for Keeper {
+    fn default() -> Keeper {
+        let slots = std::iter::repeat_with(Slot::default).take(BUCKETS.into()).collect();
+        Keeper { slots, all: AllErrors::default(), count: 0, written_ms: None }
+    }
+}
+
+impl Keeper {
+    fn slot(&mut self, key: u64) -> &mut Slot {
+        &mut self.slots[usize::from(bucket_of(key))]
+    }
+
+    pub(crate) fn delta(&mut self, key: u64) -> &mut Bucket {
+        &mut self.slot(key).delta
+    }
+
+    pub(crate) fn add(&mut self, key: u64, run: Run) {
+        self.delta(key).add(key, run);
+    }
+
+    pub(crate) fn add_to_all(&mut self, kind: usize, z: f64) {
+        self.all[kind].add(z);
+    }
+
+    /// How far off estimates were: 0 for those that rest on enough runs, 1 for others.
+    pub(crate) fn errors(&self, kind: usize) -> &Errors {
+        &self.all[kind]
+    }
+
+    /// Looks at all that is known under a key.
+    pub(crate) fn look<T>(&self, key: u64, look: impl Fn(&History) -> T) -> Option<T> {
+        let slot = &self.slots[usize::from(bucket_of(key))];
+        let flying = slot.flight.as_ref().map(|flight| &flight.adds);
+        let parts = [Some(&slot.kept), flying, Some(&slot.delta)];
+        let mut all: Option<Cow<History>> = None;
+        for part in parts.into_iter().flatten().filter_map(|part| part.histories.get(&key)) {
+            match &mut all {
+                None => all = Some(Cow::Borrowed(part)),
+                Some(known) => known.to_mut().merge(part),
+            }
+        }
+        all.map(|known| look(&known))
+    }
+
+    /// How many histories are known.
+    pub fn len(&self) -> usize {
+        self.slots.iter().map(|slot| slot.kept.len().max(slot.delta.len())).sum()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// What stands at the state service now, or that nothing does. An unreadable value costs what was
+    /// learned there and nothing else.
+    pub fn on_kept(&mut self, bucket: u8, value: Option<&str>, rev: u64) -> Result<(), Unreadable> {
+        let Some(slot) = self.slots.get_mut(usize::from(bucket)) else { return Ok(()) };
+        if rev == slot.rev {
+            return Ok(());
+        }
+        let found = value.map_or(Ok(Bucket::default()), Bucket::decode);
+        slot.rev = rev;
+        slot.later = matches!(found, Err(Unreadable::Later(_)));
+        slot.kept = found.as_ref().cloned().unwrap_or_default();
+        if let Some(flight) = slot.flight.take() {
+            // Its guard names a revision that is past, so it will not be done any more.
+            if slot.kept.stamp != flight.stamp {
+                slot.delta.merge(&flight.adds);
+            }
+        }
+        self.all = AllErrors::default();
+        for part in self.slots.iter().flat_map(|slot| {
+            [Some(&slot.kept), slot.flight.as_ref().map(|f| &f.adds), Some(&slot.delta)]
+        }) {
+            let errors = part.into_iter().flat_map(|bucket| &bucket.errors);
+            self.all.iter_mut().zip(errors).for_each(|(all, errors)| all.merge(errors));
+        }
+        found.map(|_| ())
+    }
+
+    pub fn on_told(&mut self, bucket: u8, told: Told) {
+        let Some(slot) = self.slots.get_mut(usize::from(bucket)) else { return };
+        match told {
+            Told::Settled => {}
+            Told::Unsure => {
+                if let Some(flight) = &mut slot.flight {
+                    flight.again = true;
+                }
+            }
+            Told::Invalid => {
+                if let Some(flight) = slot.flight.take() {
+                    slot.most = Some(flight.write.value.len() / 2);
+                    slot.delta.merge(&flight.adds);
+                }
+            }
+        }
+    }
+
+    /// The next write, if one is due: that which waits for longest. `most`: bytes of a value.
+    pub fn poll(&mut self, token: u64, most: usize, now_ms: u64) -> Option<Write> {
+        if self.written_ms.is_some_and(|at| now_ms < at + WRITE_EVERY_MS) {
+            return None;
+        }
+        let due = |slot: &Slot| {
+            let rested = slot.written_ms.is_none_or(|at| now_ms >= at + REWRITE_AFTER_MS);
+            let wants = match &slot.flight {
+                Some(flight) => flight.again,
+                None => !slot.delta.is_empty() && !slot.later,
+            };
+            rested && wants
+        };
+        let (bucket, slot) = (0u8..)
+            .zip(&mut self.slots)
+            .filter(|(_, slot)| due(slot))
+            .min_by_key(|(bucket, slot)| (slot.written_ms, *bucket))?;
+        slot.written_ms = Some(now_ms);
+        self.written_ms = Some(now_ms);
+        if let Some(flight) = &mut slot.flight {
+            flight.again = false;
+            return Some(flight.write.clone());
+        }
+        self.count += 1;
+        let stamp = Stamp { token, count: self.count };
+        let adds = std::mem::take(&mut slot.delta);
+        let mut whole = slot.kept.clone();
+        whole.merge(&adds);
+        whole.stamp = stamp;
+        let value = whole.encode(most.min(slot.most.unwrap_or(most)));
+        let write = Write { bucket, value, rev: slot.rev };
+        slot.flight = Some(Flight { write: write.clone(), stamp, adds, again: false });
+        Some(write)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeMap;
+
+    const KEY: u64 = 7;
+
+    /// The state service, as far as these writes see it: one key, and who leads.
+    #[derive(Default)]
+    struct Store {
+        value: Option<String>,
+        rev: u64,
+        leader: u64,
+        late: Vec<(u64, Write)>,
+    }
+
+    impl Store {
+        fn commit(&mut self, token: u64, write: &Write) -> bool {
+            let done = write.rev == self.rev && token == self.leader;
+            if done {
+                self.value = Some(write.value.clone());
+                self.rev += 1;
+            }
+            done
+        }
+    }
+
+    fn seen(keeper: &Keeper) -> BTreeMap<u16, u32> {
+        let runs = keeper.look(KEY, |known| known.runs().to_vec()).unwrap_or_default();
+        runs.into_iter().map(|run| (run.id, run.tasks)).collect()
+    }
+
+    fn kept(store: &Store) -> BTreeMap<u16, u32> {
+        let mut keeper = Keeper::default();
+        keeper.on_kept(bucket_of(KEY), store.value.as_deref(), store.rev.max(1)).unwrap();
+        seen(&keeper)
+    }
+
+    proptest! {
+        /// Leaders come and go, answers are lost, writes are done late or never: what is kept never
+        /// counts an observation twice, and what a leader knew to be written is never lost.
+        #[test]
+        fn nothing_counts_twice(steps in prop::collection::vec((0u8..8, 0u16..6), 1..120)) {
+            let mut store = Store { leader: 1, ..Store::default() };
+            let mut keeper = Keeper::default();
+            let mut token = 1;
+            let mut all: BTreeMap<u16, u32> = BTreeMap::new();
+            let mut now_ms = 0;
+            for (step, id) in steps {
+                now_ms += REWRITE_AFTER_MS;
+                match step {
+                    0 | 1 => {
+                        keeper.add(KEY, Run::new(1, id, 1, 3.0, 0.1, None));
+                        *all.entry(id).or_default() += 1;
+                    }
+                    2 => {
+                        // A new leader knows what is kept, and nothing else.
+                        token += 1;
+                        store.leader = token;
+                        keeper = Keeper::default();
+                        keeper.on_kept(bucket_of(KEY), store.value.as_deref(), store.rev).unwrap();
+                    }
+                    3 if !store.late.is_empty() => {
+                        let (by, write) = store.late.remove(usize::from(id) % store.late.len());
+                        store.commit(by, &write);
+                    }
+                    4 => {
+                        keeper.on_kept(bucket_of(KEY), store.value.as_deref(), store.rev).unwrap();
+                    }
+                    _ => {
+                        let Some(write) = keeper.poll(token, 16_000, now_ms) else { continue };
+                        match step {
+                            // Done, and told.
+                            5 => {
+                                store.commit(token, &write);
+                                keeper.on_told(write.bucket, Told::Settled);
+                                keeper.on_kept(write.bucket, store.value.as_deref(), store.rev).unwrap();
+                            }
+                            // Done, and the answer lost.
+                            6 => {
+                                store.commit(token, &write);
+                                keeper.on_told(write.bucket, Told::Unsure);
+                            }
+                            // Held back by the network.
+                            _ => {
+                                store.late.push((token, write.clone()));
+                                keeper.on_told(write.bucket, Told::Unsure);
+                            }
+                        }
+                    }
+                }
+                for (known, most) in [(kept(&store), &all), (seen(&keeper), &all)] {
+                    for (id, tasks) in known {
+                        prop_assert!(tasks <= most[&id], "run {id} counts {tasks} of {}", most[&id]);
+                    }
+                }
+            }
+            // Left alone, this leader brings all that it knows to the store.
+            let knows = seen(&keeper);
+            for _ in 0..4 {
+                now_ms += REWRITE_AFTER_MS;
+                keeper.on_kept(bucket_of(KEY), store.value.as_deref(), store.rev).unwrap();
+                if let Some(write) = keeper.poll(token, 16_000, now_ms) {
+                    store.commit(token, &write);
+                    keeper.on_told(write.bucket, Told::Settled);
+                }
+            }
+            let there = kept(&store);
+            prop_assert!(knows.iter().all(|(id, tasks)| there.get(id) >= Some(tasks)), "{knows:?} {there:?}");
+        }
+    }
+
+    #[test]
+    fn a_later_versions_value_is_left_alone_and_a_damaged_one_replaced() {
+        let mut keeper = Keeper::default();
+        keeper.add(KEY, Run::new(1, 1, 5, 3.0, 0.1, None));
+        let later = keeper.slots[7].delta.clone().encode(9999);
+        assert_eq!(keeper.on_kept(7, Some(&later[..later.len() - 3]), 4), Err(Unreadable::Damaged));
+        assert_eq!(keeper.poll(1, 9999, 0).map(|write| write.rev), Some(4));
+        let mut keeper = Keeper::default();
+        keeper.add(KEY, Run::new(1, 1, 5, 3.0, 0.1, None));
+        keeper.slots[7].later = true;
+        assert_eq!(keeper.poll(1, 9999, 0), None);
+        assert_eq!(
+            seen(&keeper).get(&1),
+            Some(&5),
+            "learned all the same, for as long as it leads"
+        );
+    }
+
+    #[test]
+    fn writes_keep_their_pace() {
+        let mut keeper = Keeper::default();
+        for key in 0..u64::from(BUCKETS) {
+            keeper.add(key, Run::new(1, 1, 5, 3.0, 0.1, None));
+        }
+        let due = |keeper: &mut Keeper, ms: u64| keeper.poll(1, 9999, ms).is_some();
+        let written = (0..100).filter(|n| due(&mut keeper, n * 100)).count();
+        assert_eq!(written, 20, "two a second");
+    }
+}
--- /dev/null
+++ b/crates/estimates/src/learner.rs
@@ -0,0 +1,253 @@
+//! Which history is like a job, what it says, and how sure that is.
+
+use crate::constants::*;
+use crate::current::{Centre, Current};
+use crate::history::{Believed, Run};
+use crate::keeper::Keeper;
+use crate::shape;
+use crate::value::{Errors, hash};
+
+/// What is known of a job before it runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Profile<'a> {
+    pub job: &'a str,
+    pub class: &'a str,
+    pub team: &'a str,
+    pub image: &'a str,
+    /// Of one task, in any units that stay the same: CPUs, GPUs, memory.
+    pub size: [u64; 3],
+    /// The owner's estimate of a task's run time, in seconds; 0 for none.
+    pub expect_s: f64,
+    pub tasks: u64,
+}
+
+/// Which jobs an estimate rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Of the same class, team, image and size.
+    Exact,
+    Team,
+    Class,
+    /// None like it: the owner's estimate, with what is known of its team's.
+    Owner,
+}
+
+/// How far an estimate can be trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Grade {
+    /// No job like it has ended.
+    Unknown,
+    /// Too few ended, or they differ too much.
+    Thin,
+    Sure,
+}
+
+/// What a job's tasks take, in the mean over its tasks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Estimate {
+    pub grade: Grade,
+    pub level: Level,
+    /// Seconds.
+    pub p10_s: f64,
+    pub p50_s: f64,
+    pub p90_s: f64,
+    /// For what is derived from it: where run times lie.
+    pub centre: Centre,
+}
+
+impl Profile<'_> {
+    fn key(&self, level: Level) -> u64 {
+        let [a, b, c] = self.size.map(u64::to_le_bytes);
+        match level {
+            Level::Exact => hash(&[
+                b"exact",
+                self.class.as_bytes(),
+                self.team.as_bytes(),
+                self.image.as_bytes(),
+                &a,
+                &b,
+                &c,
+            ]),
+            Level::Team => hash(&[b"team", self.class.as_bytes(), self.team.as_bytes()]),
+            Level::Class => hash(&[b"class", self.class.as_bytes()]),
+            Level::Owner => hash(&[b"owner", self.team.as_bytes()]),
+        }
+    }
+
+    fn owner(&self) -> Option<f64> {
+        (self.expect_s > 0.0).then(|| shape::ln(self.expect_s)).flatten()
+    }
+}
+
+/// All that was learned.
+#[derive(Debug, Default)]
+pub struct Learner {
+    pub keeper: Keeper,
+}
+
+impl Learner {
+    fn believe(&self, profile: &Profile, hour: u32) -> Option<(Level, Believed)> {
+        let owner = profile.owner();
+        let mut best: Option<(Level, Believed)> = None;
+        for level in [Level::Exact, Level::Team, Level::Class] {
+            let key = profile.key(level);
+            let Some(found) = self.keeper.look(key, |known| known.believe(hour, owner)).flatten()
+            else {
+                continue;
+            };
+            if best.is_none_or(|(_, other)| found.sd < other.sd) {
+                best = Some((level, found));
+            }
+            if found.runs >= CHANGE_RUNS as f64 {
+                break;
+            }
+        }
+        best
+    }
+
+    /// The owner's own estimate, made right by how far those of its team were off.
+    fn owners(&self, profile: &Profile, hour: u32) -> Option<Believed> {
+        let owner = profile.owner()?;
+        let bias = self.keeper.look(profile.key(Level::Owner), |known| known.believe(hour, None));
+        Some(match bias.flatten() {
+            Some(bias) => Believed { ln: owner + bias.ln, ..bias },
+            None => Believed { ln: owner, sd: SCATTER * 2.0, within: WITHIN, runs: 0.0 },
+        })
+    }
+
+    /// What a job will take, before it shows anything or with what it has shown. None if there is nothing
+    /// to go by.
+    pub fn estimate(&self, profile: &Profile, shown: &Current, hour: u32) -> Option<Estimate> {
+        let (level, believed) = match self.believe(profile, hour) {
+            Some(found) => found,
+            None => (Level::Owner, self.owners(profile, hour)?),
+        };
+        Some(self.graded(level, &believed, shown, profile.tasks))
+    }
+
+    fn graded(&self, level: Level, believed: &Believed, shown: &Current, tasks: u64) -> Estimate {
+        let settled = level == Level::Exact && believed.runs >= SURE_RUNS;
+        let centre = shown.centre(believed);
+        let (ln, sd) = mean_of_tasks(&centre, tasks);
+        // Once the run shows itself, how far off beliefs were before says little.
+        let point = |share: f64| match shown.count() {
+            0 => self.keeper.errors(usize::from(!settled)).point(share),
+            _ => shape::point(share),
+        };
+        let (low, high) = (ln + point(0.1) * sd, ln + point(0.9) * sd);
+        let grade = match level {
+            Level::Owner => Grade::Unknown,
+            Level::Exact if settled && high - low <= SURE_WIDTH => Grade::Sure,
+            _ => Grade::Thin,
+        };
+        Estimate { grade, level, p10_s: low.exp(), p50_s: ln.exp(), p90_s: high.exp(), centre }
+    }
+
+    /// A job's run, or what was seen of it, is over.
+    pub fn learn(&mut self, profile: &Profile, shown: &Current, hour: u32) {
+        let believed = self.believe(profile, hour);
+        let Some((ln, within, tasks)) = shown.summary(believed.as_ref().map(|(_, known)| known))
+        else {
+            return;
+        };
+        if let Some((level, known)) = &believed {
+            let settled = *level == Level::Exact && known.runs >= SURE_RUNS;
+            let before = Current::default().centre(known);
+            let (expected, sd) = mean_of_tasks(&before, u64::from(tasks));
+            let z = (ln + within * within / 2.0 - expected) / sd;
+            self.keeper.add_error(profile.key(Level::Exact), usize::from(!settled), z);
+        }
+        let id = hash(&[profile.job.as_bytes()]) as u16;
+        let owner = profile.owner();
+        let run = Run::new(hour, id, tasks, ln, within, owner);
+        for level in [Level::Exact, Level::Team, Level::Class] {
+            self.keeper.add(profile.key(level), run);
+        }
+        if let Some(owner) = owner {
+            let bias = Run::new(hour, id, tasks, ln - owner, within, None);
+            self.keeper.add(profile.key(Level::Owner), bias);
+        }
+    }
+}
+
+/// Logarithm of the mean run time of so many tasks, and its standard deviation.
+fn mean_of_tasks(centre: &Centre, tasks: u64) -> (f64, f64) {
+    let own = centre.within * centre.within;
+    let chance = own.exp_m1() / tasks.max(1) as f64;
+    (centre.ln + own / 2.0, (centre.sd * centre.sd + chance).sqrt())
+}
+
+impl Keeper {
+    fn add_error(&mut self, key: u64, kind: usize, z: f64) {
+        self.delta(key).errors[kind].add(z);
+        self.add_to_all(kind, z);
+    }
+}
+
+/// Kept for reading: all buckets' errors together.
+pub(crate) type AllErrors = [Errors; 2];
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn profile<'a>(job: &'a str, class: &'a str, image: &'a str) -> Profile<'a> {
+        let size = [4, 0, 14];
+        Profile { job, class, team: "bank", image, size, expect_s: 60.0, tasks: 20 }
+    }
+
+    fn run(learner: &mut Learner, profile: &Profile, run_s: f64, hour: u32) {
+        let mut shown = Current::default();
+        for n in 0..20 {
+            shown.ended(run_s * (1.0 + 0.1 * f64::from(n % 5 - 2)));
+        }
+        learner.learn(profile, &shown, hour);
+    }
+
+    #[test]
+    fn what_is_new_is_unknown_and_what_is_steady_is_sure() {
+        let mut learner = Learner::default();
+        let new = Current::default();
+        let known = profile("wk-0", "rebuild", "img-1");
+        assert_eq!(learner.estimate(&known, &new, 0).unwrap().grade, Grade::Unknown);
+        for day in 0..12u32 {
+            let name = format!("wk-{day}");
+            let job = profile(&name, "rebuild", "img-1");
+            run(&mut learner, &job, 120.0 + f64::from(day * 7 % 5), day * 24);
+        }
+        let sure = learner.estimate(&known, &new, 300).unwrap();
+        assert_eq!((sure.grade, sure.level), (Grade::Sure, Level::Exact));
+        assert!((sure.p50_s - 122.0).abs() < 5.0, "{sure:?}");
+        // The same class name for other work: nothing is sure of it.
+        let reused = learner.estimate(&profile("wk-x", "rebuild", "img-9"), &new, 300).unwrap();
+        assert_eq!((reused.grade, reused.level), (Grade::Thin, Level::Team));
+        // A class without history is unknown, but its owner's habit is known.
+        let other = learner.estimate(&profile("wk-y", "report", "img-1"), &new, 300).unwrap();
+        assert_eq!((other.grade, other.level), (Grade::Unknown, Level::Owner));
+        assert!((other.p50_s - 122.0).abs() < 8.0, "{other:?}");
+        let silent = Profile { expect_s: 0.0, ..profile("wk-z", "report", "img-1") };
+        assert_eq!(learner.estimate(&silent, &new, 300), None);
+    }
+
+    #[test]
+    fn a_doubled_night_is_seen_by_the_first_tasks_and_does_not_spoil_the_next() {
+        let mut learner = Learner::default();
+        for day in 0..12u32 {
+            let name = format!("wk-{day}");
+            run(
+                &mut learner,
+                &profile(&name, "rebuild", "i"),
+                100.0 + f64::from(day % 3),
+                day * 24,
+            );
+        }
+        let tonight = profile("wk-20", "rebuild", "i");
+        let mut shown = Current::default();
+        [190.0, 205.0, 198.0].into_iter().for_each(|run_s| shown.ended(run_s));
+        let seen = learner.estimate(&tonight, &shown, 288).unwrap();
+        assert!((seen.p50_s / 200.0 - 1.0).abs() < 0.12, "{seen:?}");
+        run(&mut learner, &tonight, 200.0, 288);
+        let next = learner.estimate(&profile("wk-21", "rebuild", "i"), &Current::default(), 312);
+        assert!((next.unwrap().p50_s - 102.0).abs() < 6.0, "{next:?}");
+    }
+}
--- /dev/null
+++ b/crates/spindlectl/src/main.rs
@@ -0,0 +1,2 @@
+#![forbid(unsafe_code)]
+fn main() {}
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -2,34 +2,13 @@
 //! What operators may change lives in [`crate::settings::Operator`]; its defaults are here too.
 
 use std::time::Duration;
+pub use troutspindle_protocol::constants::*;
 
-/// Bytes. PROTOCOL caps request bodies and our responses at 64 KiB.
-pub const BODY_MAX: usize = 64 * 1024;
-/// Bytes. A body read from the cloud or the state service may be larger: pages hold 512 KiB
-/// and a follow response has no limit, so this only stops a peer that has gone mad.
-pub const CLIENT_BODY_MAX: usize = 8 * 1024 * 1024;
-/// Bytes. Request line and headers together; ours are a few hundred.
-pub const HEAD_MAX: usize = 8 * 1024;
-/// Bytes. What one read takes at the most: more than nearly all messages have.
-pub const READ_AT_ONCE: usize = 4096;
-/// Count. Headers in one message.
-pub const HEADERS_MAX: usize = 48;
-/// A client that sends half a request is dropped after this long.
-pub const READ_TIMEOUT: Duration = Duration::from_secs(10);
-/// An idle connection is closed after this long; workers report every few seconds and users
-/// poll every five, so a live peer never meets it.
-pub const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
 /// Share of the platform's socket limit that the public listener may hold; the rest is for the
 /// mesh and our own calls.
 pub const PUBLIC_SOCKET_SHARE: f64 = 0.8;
 /// Share of the platform's socket limit that idle connections of ours to workers may hold.
 pub const IDLE_SOCKET_SHARE: f64 = 0.1;
-/// Count. Idle connections kept for each address we call.
-pub const IDLE_PER_ADDRESS: usize = 4;
-/// How long a connection of our own may take to open: several round trips with one resend.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Idle connections of ours older than this are not reused: the far side may have dropped them.
-pub const REUSE_WITHIN: Duration = Duration::from_secs(30);
 
 /// How long a user's request may take inside; users give a poll 2 s and a submission 5 s.
 pub const USER_DEADLINE: Duration = Duration::from_millis(1600);
@@ -37,8 +16,6 @@
 pub const CHANGE_DEADLINE: Duration = Duration::from_millis(4000);
 /// Count. User requests waiting in one process; beyond it they are refused at once.
 pub const USER_QUEUE_MAX: usize = 2000;
-/// Seconds. What `Retry-After` says on a refusal.
-pub const RETRY_AFTER_S: u64 = 1;
 
 /// Timeout of a commit or read at the state service, which normally answers within 10 ms and
 /// now and then within a few hundred.
@@ -127,8 +104,6 @@
 pub const WORKER_MARGIN: Duration = Duration::from_millis(1500);
 /// Count. Orders in one answer to a worker, which keeps it far below 64 KiB.
 pub const ORDERS_MAX: usize = 300;
-/// Count. Bits of an attempt number that count within one leadership; the rest is the token.
-pub const ATTEMPT_BITS: u32 = 24;
 
 /// Timeout of a call to the cloud.
 pub const CLOUD_TIMEOUT: Duration = Duration::from_secs(4);
@@ -211,8 +186,6 @@
 pub const MISTAKEN_MACHINES: usize = 3;
 /// A task that ran this long shows that its job does well: mistakes show at once.
 pub const PROVEN_AFTER: Duration = Duration::from_secs(10);
-/// Micro-units in one unit of an amount: resources are counted in whole millionths.
-pub const MICRO: f64 = 1e6;
 /// Count. PROTOCOL's cap on the tasks of a job.
 pub const LEGS_MAX: u64 = 100_000;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 //! first fit, after the GRMU paper. See `docs/design.md`.
 #![forbid(unsafe_code)]
 
+pub use troutspindle_protocol::{http, ids, wire};
+
 pub mod api;
 pub mod cli;
 pub mod clock;
@@ -11,8 +13,6 @@
 pub mod faults;
 pub mod fleet;
 pub mod foreman;
-pub mod http;
-pub mod ids;
 pub mod jobs;
 pub mod mesh;
 pub mod node;
@@ -24,4 +24,3 @@
 pub mod shelves;
 pub mod state;
 pub mod vouch;
-pub mod wire;
