--- a/crates/spindlectl/src/constants.rs
+++ b/crates/spindlectl/src/constants.rs
@@ -11,6 +11,8 @@
 pub const EARLY_LEAST: usize = 3;
 /// Share of the run by which a warning has to come to be of use.
 pub const WARN_BY: f64 = 0.5;
+/// Times its due time from which on a job is much too late.
+pub const MUCH_LATE: f64 = 1.25;
 /// Probability of being late from which on a job is warned of.
 pub const WARN_FROM: f64 = 0.9;
 /// Count. Nights that the owner of a generated job remembers when setting its due time.
--- a/crates/spindlectl/src/replay.rs
+++ b/crates/spindlectl/src/replay.rs
@@ -54,6 +54,9 @@
     /// Late ones warned of by half their run, and at any time before they were due.
     pub late_warned_by_half: u64,
     pub late_warned: u64,
+    /// The same of those that were late by more than a quarter of the time they had.
+    pub much_late: u64,
+    pub much_late_warned_by_half: u64,
     /// Jobs warned of that were in time.
     pub wrong: u64,
 }
@@ -348,10 +351,14 @@
     let is_late = run.course.over_s > due_s;
     warnings.with_due += 1;
     warnings.late += u64::from(is_late);
+    let much = run.course.over_s > due_s * MUCH_LATE;
+    warnings.much_late += u64::from(much);
     match run.warned_s {
         Some(at_s) if is_late => {
+            let by_half = u64::from(at_s <= run.course.over_s * WARN_BY);
             warnings.late_warned += 1;
-            warnings.late_warned_by_half += u64::from(at_s <= run.course.over_s * WARN_BY);
+            warnings.late_warned_by_half += by_half;
+            warnings.much_late_warned_by_half += by_half * u64::from(much);
         }
         Some(_) => warnings.wrong += 1,
         None => {}
--- a/crates/spindlectl/src/report.rs
+++ b/crates/spindlectl/src/report.rs
@@ -74,11 +74,13 @@
         ),
         format!(
             "{} jobs had a due time, {} were late: {} of these were warned of before, {} by half of their run. \
-             Of {} warnings {} were wrong.",
+             Of {} late by more than a quarter {} by half. Of {} warnings {} were wrong.",
             w.with_due,
             w.late,
             percent(w.late_warned, w.late),
             percent(w.late_warned_by_half, w.late),
+            w.much_late,
+            percent(w.much_late_warned_by_half, w.much_late),
             w.late_warned + w.wrong,
             percent(w.wrong, w.late_warned + w.wrong)
         ),
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1699,6 +1699,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::records;
     use crate::settings::plain_flavor as flavor;
     use crate::wire::{JobSpec, ReportedTask};
 
@@ -2033,4 +2034,120 @@
         let evidence = &bench.foreman.work[&JobId::new("wk-1")].evidence;
         assert!(evidence.mistaken() && bench.foreman.starts >= 18, "{}", bench.foreman.starts);
     }
+
+    /// A leader that learns run times.
+    fn learning_bench() -> Bench {
+        let mut bench = Bench::new();
+        let settings = Arc::make_mut(&mut bench.foreman.settings);
+        settings.operator.estimates.learn = true;
+        bench
+    }
+
+    /// An array of four tasks that are started and run for so long; what the worker shows in the end.
+    fn run_array(bench: &mut Bench, id: &str, run_s: u64) -> Vec<ReportedTask> {
+        bench.report("i-1", vec![]);
+        bench.job(id, Shape::Array, 4);
+        bench.pass(PLAN_EVERY * 5);
+        let orders = bench.report("i-1", vec![]);
+        assert_eq!(shown(&orders, TaskState::Fetching).len(), 4);
+        bench.report("i-1", shown(&orders, TaskState::Fetching));
+        bench.now += Duration::from_secs(7);
+        bench.report("i-1", shown(&orders, TaskState::Running));
+        bench.now += Duration::from_secs(run_s);
+        let mut ended = shown(&orders, TaskState::Exited);
+        ended.iter_mut().for_each(|task| task.why = Some("done".into()));
+        ended
+    }
+
+    fn over(bench: &mut Bench, id: &str) {
+        let done =
+            records::Record { p: records::Phase::Done, n: 4, ..records::Record::live(1, None) };
+        let rev = Revision(bench.state.cache.rev.0.max(10) + 1);
+        bench.state.cache.jobs.put_job(JobId::new(id), &records::data(&done), rev);
+        bench.foreman.on_jobs(&[JobId::new(id)], &bench.state.cache, bench.now);
+    }
+
+    /// What the store would hold after all writes that are due were done.
+    fn write_estimates(bench: &mut Bench) -> usize {
+        let mut written = 0;
+        for n in 0..40 {
+            bench.now += Duration::from_millis(300);
+            bench.foreman.store_estimates(&mut bench.state, bench.now);
+            for item in bench.state.take_items() {
+                let (Origin::Estimates(bucket), [Write::Put { data, .. }]) =
+                    (&item.origin, &item.change.writes[..])
+                else {
+                    continue;
+                };
+                assert_eq!(item.rank, Rank::Rest);
+                let text = data.as_text().map(str::to_owned);
+                bench.state.cache.estimates.insert(*bucket, (text, Revision(100 + n)));
+                bench.foreman.on_outcome(&item.origin, Outcome::Committed, &mut bench.state);
+                written += 1;
+            }
+        }
+        written
+    }
+
+    fn estimated(bench: &mut Bench, id: &str) -> Option<f64> {
+        let id = bench.job(id, Shape::Array, 4);
+        let live = bench.state.cache.jobs.get(&id).and_then(Job::live).unwrap();
+        let spec = &live.spec;
+        let profile = troutspindle_estimates::Profile {
+            job: "x",
+            class: &spec.class,
+            team: &spec.team,
+            image: &spec.image,
+            size: [live.need.cpu, live.need.gpu, live.need.ram],
+            expect_s: 0.0,
+            tasks: 4,
+        };
+        bench.foreman.estimate_of(&profile).map(|estimate| estimate.p50_s)
+    }
+
+    #[test]
+    fn a_successor_knows_what_was_learned_without_the_fetch_and_damage_costs_only_that() {
+        let mut bench = learning_bench();
+        let ended = run_array(&mut bench, "wk-1", 30);
+        // Shown twice, counted once.
+        bench.report("i-1", ended.clone());
+        bench.report("i-1", ended);
+        over(&mut bench, "wk-1");
+        let known = estimated(&mut bench, "wk-2").unwrap();
+        assert!((known - 30.0).abs() < 2.5, "{known}");
+        // Exact, team, class and owner, in as many values at the most.
+        assert!((1..=4).contains(&write_estimates(&mut bench)));
+        assert_eq!(write_estimates(&mut bench), 0, "nothing new, nothing written");
+        let mut next = learning_bench();
+        next.state.cache.estimates = bench.state.cache.estimates.clone();
+        next.foreman.store_estimates(&mut next.state, next.now);
+        assert!((estimated(&mut next, "wk-2").unwrap() - known).abs() < 0.5);
+        let mut damaged = learning_bench();
+        for (bucket, (text, rev)) in &bench.state.cache.estimates {
+            let text = text.as_ref().map(|text| text[..text.len() / 2].to_owned());
+            damaged.state.cache.estimates.insert(*bucket, (text, *rev));
+        }
+        damaged.foreman.store_estimates(&mut damaged.state, damaged.now);
+        assert_eq!(estimated(&mut damaged, "wk-2"), None);
+        run_array(&mut damaged, "wk-3", 1);
+    }
+
+    /// It is not known when a task began that was found running, so its end tells nothing.
+    #[test]
+    fn a_task_that_was_found_running_teaches_nothing_wrong() {
+        let mut first = learning_bench();
+        let ended = run_array(&mut first, "wk-1", 300);
+        let mut bench = learning_bench();
+        bench.job("wk-1", Shape::Array, 4);
+        let running = ended.iter().cloned().map(|task| ReportedTask {
+            state: TaskState::Running,
+            why: None,
+            ..task
+        });
+        bench.report("i-1", running.collect());
+        bench.now += Duration::from_secs(2);
+        bench.report("i-1", ended);
+        over(&mut bench, "wk-1");
+        assert_eq!(estimated(&mut bench, "wk-2"), None);
+    }
 }
--- a/src/foreman/learning.rs
+++ b/src/foreman/learning.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    #[cfg(test)]
+    pub(super) fn estimate_of(&self, profile: &Profile) -> Option<Estimate> {
+        self.learning.learner.estimate(profile, &Current::default(), 0)
+    }
+
     fn hour(&self, now: Instant) -> u32 {
         u32::try_from(self.wall.ms(now) / 3_600_000).unwrap_or(0)
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -222,7 +222,7 @@
 
     /// An operator asks; whoever does not know the key learns not even that there is such a path.
     fn on_at_risk(&self, body: &[u8], now: Instant) -> Response {
-        let key = self.settings.operator.operator_key.as_bytes();
+        let key = self.settings.operator.operator_key.0.as_bytes();
         let asked = serde_json::from_slice::<ops::Question>(body);
         let shown = asked.is_ok_and(|asked| asked.key.as_bytes().ct_eq(key).into());
         if key.is_empty() || !shown {
@@ -1014,4 +1014,29 @@
         let whole: Vec<_> = got.iter().map(|text| mesh::from_text(text)).collect();
         assert_eq!(whole, [Some(grant(1)), Some(grant(2))]);
     }
+
+    /// Users find no path there, whatever they show; whoever has the key and asks the wrong controller is
+    /// sent on.
+    #[test]
+    fn operators_paths_are_shut_without_their_key() {
+        let teams = r#"[{"name":"t","cpus_max":8.0}]"#;
+        let now = Instant::now();
+        let ask = |own: &str, method: Method, shown: &str| {
+            let mut settings = crate::settings::plain(teams);
+            settings.operator.operator_key = crate::settings::Secret(own.into());
+            let mut node = Node::new(Arc::new(settings), 1, Wall { at: now, ms: 5 }).unwrap();
+            let body = serde_json::to_vec(&ops::Question { key: shown.into() }).unwrap();
+            node.on_http(1, Request { method, target: ops::AT_RISK_PATH.into(), body }, now);
+            match node.out.pop() {
+                Some(Effect::Reply(1, response)) => response.status,
+                other => panic!("{other:?}"),
+            }
+        };
+        let key = "a key of some length";
+        assert_eq!(ask("", Method::Post, ""), 404);
+        assert_eq!(ask(key, Method::Post, "a key of same length"), 404);
+        assert_eq!(ask(key, Method::Post, ""), 404);
+        assert_eq!(ask(key, Method::Get, key), 404);
+        assert_eq!(ask(key, Method::Post, key), 421);
+    }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -184,10 +184,27 @@
     pub hold_format: bool,
     pub log_format: LogFormat,
     /// Opens the operators' paths to whoever shows it; empty: they are shut.
-    pub operator_key: String,
+    pub operator_key: Secret,
     pub estimates: Estimates,
 }
 
+/// What is shown to nobody: not in a log, nor by `check`.
+#[derive(Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct Secret(pub String);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if self.0.is_empty() { "(none)" } else { "(hidden)" })
+    }
+}
+
+impl Serialize for Secret {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{self:?}"))
+    }
+}
+
 /// What learned run times are used for.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -217,7 +234,7 @@
             warm_share: WARM_SHARE,
             hold_format: false,
             log_format: LogFormat::Text,
-            operator_key: String::new(),
+            operator_key: Secret::default(),
             estimates: Estimates::default(),
         }
     }
@@ -294,7 +311,7 @@
         range("idle_return_s", o.idle_return_s, 0.0, 86_400.0);
         range("warm_per_zone", o.warm_per_zone, 0.0, 1000.0);
         range("warm_share", o.warm_share, 0.0, 1.0);
-        let key = o.operator_key.len();
+        let key = o.operator_key.0.len();
         if key > 0 {
             range("operator_key (its length in bytes)", key as f64, KEY_LEAST, KEY_MOST);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -559,6 +559,13 @@
         self.origins.contains(origin)
     }
 
+    /// What waits to be written, as if it had been sent.
+    #[cfg(test)]
+    pub(crate) fn take_items(&mut self) -> Vec<Item> {
+        self.origins.clear();
+        std::mem::take(&mut self.items)
+    }
+
     fn settle(&mut self, origin: Origin, outcome: Outcome) {
         self.origins.remove(&origin);
         self.events.push_back(StateEvent::Outcome(origin, outcome));
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -31,6 +31,13 @@
     assert!(fault("heavy_kap: 0.2").contains("heavy_kap"));
     assert!(fault("heavy_cap: 1.5\nidle_return_s: -1").lines().count() == 2);
     assert!(fault("heavy_cap: x").contains("heavy_cap"));
+    assert!(fault("operator_key: short").contains("operator_key"));
+    assert!(fault("estimates: {lern: true}").contains("lern"));
+    // What `check` prints and a log may show.
+    let key = "a key that nobody sees";
+    let settings = Settings::parse(PLATFORM, Some(&format!("operator_key: {key}"))).unwrap();
+    let printed = serde_yaml_ng::to_string(&settings.operator).unwrap();
+    assert!(!printed.contains(key) && !format!("{settings:?}").contains(key));
     let broken = PLATFORM.replace("18.0", "-1.0");
     assert!(Settings::parse(&broken, None).unwrap_err().to_string().contains("lease_s"));
 }
