The tests' world learns run times through all its troubles

Need: no rule may depend on what was learned, and what is kept must be whole whoever led, crashed or wrote late.

--- a/crates/estimates/src/value.rs
+++ b/crates/estimates/src/value.rs
@@ -101,6 +101,10 @@
     pub fn is_empty(&self) -> bool {
         self.histories.is_empty() && self.errors.iter().all(|errors| errors.0.is_empty())
     }
+    /// All runs that it remembers.
+    pub fn runs(&self) -> impl Iterator<Item = &Run> {
+        self.histories.values().flat_map(|known| known.runs())
+    }
     /// How many histories it holds.
     pub fn len(&self) -> usize {
         self.histories.len()
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -27,6 +27,7 @@
     MachineNames, MachinePage, Misdirected, News, Order, Orders, Page, Report, ReportedTask, Row,
     Shape, TaskState, Urgency, Write,
 };
+use troutspindle_estimates::Bucket;
 
 const LEASE_MS: u64 = 14_000;
 const REPORT_MS: u64 = 2000;
@@ -55,9 +56,15 @@
         ZONES[World::node_zone(node)],
         others.join(",")
     );
-    Arc::new(Settings::parse(&text, old.then_some("hold_format: true")).unwrap())
+    Arc::new(
+        Settings::parse(&text, Some(if old { "hold_format: true" } else { LEARNING })).unwrap(),
+    )
 }
 
+/// All that learned run times are used for: no rule may depend on what was learned.
+const LEARNING: &str =
+    "estimates: {learn: true, warn: true, due: true, ahead: true, make_way: true, drain: true}";
+
 /// Production's types as they were, for what the new version writes before all controllers have it.
 /// A copy on purpose: it must not change with the code.
 mod production {
@@ -1356,6 +1363,22 @@
         tasks.filter(|(task, r)| task.job == *id && r.state == TaskState::Running).count()
     }
 
+    /// Whoever led, crashed or wrote late: values are whole, and no run counts more tasks than its job has.
+    fn check_learned(&self) -> usize {
+        let kept = self.store.keys.range("t/e/".to_owned().."t/e0".to_owned());
+        let arrays = self.jobs.values().filter(|job| job.spec.shape != Shape::Service);
+        let most = arrays.map(|job| job.spec.tasks).max().unwrap_or(0);
+        let mut runs = 0;
+        for (key, (data, ..)) in kept {
+            let bucket = Bucket::decode(data.as_text().unwrap()).expect(key);
+            for run in bucket.runs() {
+                assert!(u64::from(run.tasks) <= most, "{key}: {run:?}");
+                runs += 1;
+            }
+        }
+        runs
+    }
+
     fn day(seed: u64, faults: &[(u64, Fault)]) -> World {
         let mut world = World::new(seed);
         for n in 0..3 {
@@ -1379,6 +1402,8 @@
                 _ => assert!(job.told_done || cancelled, "seed {seed}: {number} is not over"),
             }
         }
+        let runs = world.check_learned();
+        assert!(runs > 0 || !faults.is_empty(), "seed {seed}: nothing was learned");
         world
     }
 }
@@ -1437,7 +1462,9 @@
     // Nothing is left beside the records, whichever way a job ended.
     let left: Vec<&String> =
         world.store.keys.keys().filter(|key| key[..4] != *"t/j/" && key[..4] != *"t/a/").collect();
-    assert!(left.iter().all(|key| key.starts_with("t/m/") || key.starts_with("t/x/")), "{left:?}");
+    let stays = |key: &&String| ["t/m/", "t/x/", "t/e/"].contains(&&key[..4]);
+    assert!(left.iter().all(stays), "{left:?}");
+    world.check_learned();
 }
 
 #[test]
