--- a/crates/estimates/src/constants.rs
+++ b/crates/estimates/src/constants.rs
@@ -50,6 +50,8 @@
 pub const PLAYED: usize = 128;
 /// Count. Ways in which a job may go that are played: a probability to within a tenth.
 pub const WAYS: usize = 24;
+/// Count. Parts into which the normal distribution is cut for quick look-up.
+pub const POINTS_COUNT: usize = 1024;
 /// Count. Bins of standardized errors, of [`ERROR_BIN`] each, around zero.
 pub const ERROR_BINS: usize = 41;
 /// Standard deviations. Width of such a bin.
--- a/crates/estimates/src/play.rs
+++ b/crates/estimates/src/play.rs
@@ -58,7 +58,7 @@
 
 fn played(centre: &Centre, running: &[f64], waiting: u64, width: u64, random: &mut StdRng) -> f64 {
     let within = centre.within;
-    let run_s = |share: f64| (centre.ln + within * shape::point(share)).exp();
+    let run_s = |share: f64| (centre.ln + within * shape::quick_point(share)).exp();
     // What runs goes on for as long as those do that ran so long already.
     let mut ends: BinaryHeap<Reverse<At>> = running
         .iter()
--- a/crates/estimates/src/shape.rs
+++ b/crates/estimates/src/shape.rs
@@ -3,6 +3,7 @@
 use crate::constants::*;
 use statrs::function::erf::{erfc, erfc_inv};
 use std::f64::consts::{FRAC_1_SQRT_2, PI};
+use std::sync::LazyLock;
 
 /// Share of the standard normal distribution above z.
 pub fn above(z: f64) -> f64 {
@@ -19,6 +20,21 @@
     -erfc_inv(2.0 * share.clamp(1e-9, 1.0 - 1e-9)) / FRAC_1_SQRT_2
 }
 
+/// Points of the normal distribution at even shares: playing a job asks for thousands of them.
+static POINTS: LazyLock<Vec<f64>> =
+    LazyLock::new(|| (0..=POINTS_COUNT).map(|n| point(n as f64 / POINTS_COUNT as f64)).collect());
+
+/// The same as [`point`] to within a hundredth, at a fraction of its cost; exact in the outermost parts.
+pub fn quick_point(share: f64) -> f64 {
+    let at = share * POINTS_COUNT as f64;
+    let below = at as usize;
+    if !(2..POINTS_COUNT - 2).contains(&below) {
+        return point(share);
+    }
+    let part = at - below as f64;
+    POINTS[below] * (1.0 - part) + POINTS[below + 1] * part
+}
+
 /// Mean of the standard normal distribution above z (the inverse Mills ratio).
 pub fn mean_above(z: f64) -> f64 {
     if z > 8.0 {
@@ -46,3 +62,18 @@
     }
     0.0
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_point_looked_up_is_the_point_itself() {
+        for n in 1..10_000 {
+            let share = f64::from(n) / 10_000.0;
+            assert!((quick_point(share) - point(share)).abs() < 0.01, "{share}");
+            assert!((below(point(share)) - share).abs() < 1e-9);
+        }
+        assert!(quick_point(0.0).is_finite() && quick_point(1.0).is_finite());
+    }
+}
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -112,8 +112,9 @@
 /// Seconds. What will end by itself this soon is not stopped for its room: stopping and reporting takes as
 /// long.
 pub const ENDS_SOON_S: f64 = 3.0;
-/// Count. Jobs looked at in one round, five a second, for whether they will be late.
-pub const WARN_LOOKS: usize = 6;
+/// Count. Jobs looked at in one round, five a second, for whether they will be late: each takes up to a
+/// quarter of a millisecond.
+pub const WARN_LOOKS: usize = 3;
 /// Probability of being late from which on a job is warned of: more than one in ten warnings would be
 /// wrong below it, in replayed histories.
 pub const WARN_FROM: f64 = 0.9;
