Reread: estimates before a pass are bounded, lost tasks count until they were last seen

Need: a guest's thousands of jobs would have made each pass reckon thousands of estimates; a lost task counted as running until its loss was noticed, a lease later. Change: 200 estimates a pass, in turn; a cut-off run lasts until the last report that showed it.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -105,6 +105,8 @@
 /// Count. Orders in one answer to a worker, which keeps it far below 64 KiB.
 pub const ORDERS_MAX: usize = 300;
 
+/// Count. Estimates found anew before a planning pass, some microseconds each.
+pub const ESTIMATES_A_PASS: usize = 200;
 /// How old an estimate may be that decisions use.
 pub const ESTIMATE_FRESH: Duration = Duration::from_secs(2);
 /// Seconds. A task that ran before and is done within this time only gave its result again.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -36,11 +36,17 @@
     pub running_since: Option<Instant>,
     /// The same, but only if this leader saw it begin.
     pub began: Option<Instant>,
+    /// When a report last showed it running: what is silent may have ended at any time since.
+    pub ran_until: Option<Instant>,
     /// Its exit was dealt with: it is forgotten as soon as that is safe.
     pub settled: bool,
 }
 
 impl Entry {
+    fn seen_to_run(&self) -> Option<Duration> {
+        Some(self.ran_until?.saturating_duration_since(self.began?))
+    }
+
     /// Whether it was told to stop for this reason.
     pub fn stopped_for(&self, reason: &str) -> bool {
         self.stop.as_ref().is_some_and(|stop| stop.reason == reason)
@@ -58,8 +64,8 @@
         saved: bool,
     },
     /// It is surely not on the machine any more, and nothing is known of its end.
-    /// With when it began to run, if that was seen.
-    Vanished(TaskId, Attempt, Option<Instant>),
+    /// With how long it was seen to run at least, if its begin was seen.
+    Vanished(TaskId, Attempt, Option<Duration>),
     /// A report shows it and we had not placed it: a predecessor did.
     Found(TaskId, Attempt),
 }
@@ -254,6 +260,7 @@
                         placed: now,
                         running_since: None,
                         began: None,
+                        ran_until: None,
                         settled: false,
                     })
                 }
@@ -263,6 +270,9 @@
                 self.usage = None;
             }
             entry.state = shown.state;
+            if shown.state == TaskState::Running {
+                entry.ran_until = Some(now);
+            }
             match shown.state {
                 TaskState::Running if entry.running_since.is_none() => {
                     entry.running_since = Some(now);
@@ -288,7 +298,7 @@
                     return true;
                 }
                 self.usage = None;
-                facts.push(Fact::Vanished(key.0.clone(), key.1, entry.began));
+                facts.push(Fact::Vanished(key.0.clone(), key.1, entry.seen_to_run()));
                 return false;
             }
             true
@@ -317,7 +327,7 @@
         entries
             .into_iter()
             .filter(|(_, entry)| !entry.settled)
-            .map(|((task, attempt), entry)| Fact::Vanished(task, attempt, entry.began))
+            .map(|((task, attempt), entry)| Fact::Vanished(task, attempt, entry.seen_to_run()))
             .collect()
     }
 
@@ -506,6 +516,7 @@
             placed: Instant::now(),
             running_since: None,
             began: None,
+            ran_until: None,
             settled: false,
         };
         machine.entries.insert((task(index), Attempt(attempt)), entry);
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -389,9 +389,9 @@
         match fact {
             Fact::Running(task, attempt) => self.on_running(machine, &task, attempt, cache, now),
             Fact::Found(task, attempt) => self.adopt(machine, task, attempt, cache),
-            Fact::Vanished(task, attempt, began) => {
+            Fact::Vanished(task, attempt, ran) => {
                 let live = cache.jobs.get(&task.job).and_then(Job::live);
-                self.learn_end(&task, machine, live, (began, false, false), now);
+                self.learn_end(&task, machine, live, (ran, false, false));
                 tracing::info!(%machine, %task, %attempt, "task is gone with its machine's session");
                 self.release(&task, attempt, now);
             }
@@ -495,8 +495,9 @@
         let done = why == "done" && live.is_some_and(|l| l.spec.shape != Shape::Service);
         let entry = self.machines.get(id).and_then(|m| m.entries.get(&(task.clone(), attempt)));
         let began = entry.and_then(|entry| entry.began);
+        let ran = began.map(|at| now.saturating_duration_since(at));
         if (done && live.is_some_and(|live| !self.is_completing(&task, live))) || why == "halted" {
-            self.learn_end(&task, id, live, (began, done, saved), now);
+            self.learn_end(&task, id, live, (ran, done, saved));
         }
         if let (true, Some(live)) = (done, live) {
             // The machine keeps the exit until the completion is committed.
@@ -1612,6 +1613,7 @@
             placed: now,
             running_since: None,
             began: None,
+            ran_until: None,
             settled: false,
         };
         machine.entries.insert((task, attempt), entry);
--- a/src/foreman/learning.rs
+++ b/src/foreman/learning.rs
@@ -29,8 +29,9 @@
     learner: Learner,
     /// Ordered, so that equal events have equal effects.
     seen: BTreeMap<JobId, Seen>,
-    /// Where the round of looks at jobs goes on.
+    /// Where the round of looks at jobs goes on, and that of estimates before a pass.
     next: Option<JobId>,
+    pass_from: usize,
     warned: u64,
     warned_late: u64,
     warned_in_time: u64,
@@ -96,15 +97,14 @@
         self.settings.operator.estimates.learn
     }
 
-    /// A task ended after it had run since then, to its end or stopped, killed or lost before. None: it
-    /// is not known when it began.
+    /// A task ran so long, to its end or until it was stopped, killed or lost. None: it is not known when it
+    /// began.
     pub(super) fn learn_end(
         &mut self,
         task: &TaskId,
         machine: &MachineId,
         live: Option<&LiveJob>,
-        (ran, done, saved): (Option<Instant>, bool, bool),
-        now: Instant,
+        (ran, done, saved): (Option<Duration>, bool, bool),
     ) {
         let Some(live) = live.filter(|live| live.spec.shape != Shape::Service) else { return };
         // A faulty machine shows nothing about its tasks.
@@ -112,8 +112,7 @@
         if !self.learns() || self.machines.get(machine).is_some_and(faulty) {
             return;
         }
-        let Some(began) = ran else { return };
-        let run_s = now.saturating_duration_since(began).as_secs_f64();
+        let Some(run_s) = ran.map(|ran| ran.as_secs_f64()) else { return };
         let work = self.work.get(&task.job);
         let first = work.is_none_or(|work| !work.retry.contains_key(&task.index));
         let seen = self.learning.seen(&task.job, live);
@@ -191,13 +190,23 @@
         Some(estimate)
     }
 
-    /// Finds out about jobs that decisions ask for, before they are made.
+    /// Finds out about jobs that decisions ask for, before they are made: a few in each pass, in turn, so
+    /// that a guest's thousands of jobs make none long.
     pub(super) fn estimate_all(&mut self, live: &[(&JobId, &LiveJob)], now: Instant) {
         let switches = &self.settings.operator.estimates;
         if !(switches.due || switches.ahead || switches.make_way || switches.drain) {
             return;
         }
-        for (id, job) in live {
+        let from = self.learning.pass_from % live.len().max(1);
+        let stale = |id: &JobId| {
+            let known = self.learning.seen.get(id).and_then(|seen| seen.known);
+            known.is_none_or(|(_, at)| now >= at + ESTIMATE_FRESH)
+        };
+        let turn = live[from..].iter().chain(&live[..from]).enumerate();
+        let arrays = turn.filter(|(_, (_, job))| job.spec.shape != Shape::Service);
+        let due: Vec<_> = arrays.filter(|(_, (id, _))| stale(id)).take(ESTIMATES_A_PASS).collect();
+        self.learning.pass_from = from + due.last().map_or(0, |(n, _)| n + 1);
+        for (_, (id, job)) in due {
             self.estimate(id, job, now);
         }
     }
