Zones and machines can be drained: spindlectl drain, undrain, drains

Change: orders stand at the store under t/q/ with revision guards, all controllers see them; nothing new starts there, replicas leave one of a service at a time where there is room, what saves moves, the rest ends or is stopped by its time; what can't leave is told. No other moves meanwhile. Result: tests with a leader that crashes in the midst (at least 3 of 4 replicas up at each 200 ms, the zone empty, then back), with a service that can't leave, with a cut.

--- a/crates/protocol/src/ops.rs
+++ b/crates/protocol/src/ops.rs
@@ -38,3 +38,60 @@
     pub warned_in_time: u64,
     pub late_unwarned: u64,
 }
+
+/// POST, with [`DrainOrder`], [`DrainName`] and [`Question`]. Any controller takes them.
+pub const DRAIN_PATH: &str = "/ops/drain";
+pub const UNDRAIN_PATH: &str = "/ops/undrain";
+pub const DRAINS_PATH: &str = "/ops/drains";
+
+/// What can be drained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum DrainKind {
+    Zone,
+    Machine,
+}
+
+/// Nothing new is to start there, and what runs is to leave.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DrainOrder {
+    pub key: String,
+    pub kind: DrainKind,
+    pub name: String,
+    /// Seconds from now after which no array's task may run there any more; none: each runs to its end.
+    #[serde(default)]
+    pub by_s: Option<f64>,
+    #[serde(default)]
+    pub author: String,
+    #[serde(default)]
+    pub reason: String,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DrainName {
+    pub key: String,
+    pub kind: DrainKind,
+    pub name: String,
+}
+
+/// A drain that is in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Drain {
+    pub kind: DrainKind,
+    pub name: String,
+    /// Seconds until it is to be done; below 0 if that is past.
+    pub by_in_s: Option<f64>,
+    /// Seconds since it was ordered.
+    pub since_s: f64,
+    pub author: String,
+    pub reason: String,
+    /// Tasks that are still there, and how many of them can neither leave nor end in time; only the leader
+    /// knows.
+    pub left: Option<u64>,
+    pub stuck: Option<u64>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Drains {
+    pub drains: Vec<Drain>,
+}
--- a/crates/spindlectl/src/ask.rs
+++ b/crates/spindlectl/src/ask.rs
@@ -1,10 +1,13 @@
-//! Asks a controller on its operators' path. Only the leader knows what is at risk: the others name it.
+//! Asks controllers on their operators' paths. Any of them takes orders; what is at risk and what is left
+//! to leave only the leader knows.
 
 use crate::constants::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use tokio::time::Instant;
-use troutspindle_protocol::http::{CallError, Client, Method, Request};
-use troutspindle_protocol::ops::{AT_RISK_PATH, AtRisk, Question};
+use troutspindle_protocol::http::{Client, Method, Request, Response};
+use troutspindle_protocol::ops::*;
 
 #[derive(Debug, thiserror::Error)]
 pub enum AskError {
@@ -14,41 +17,125 @@
         "{0}: operators' paths are off or the key is not its key; see `operator_key` in its settings"
     )]
     Shut(SocketAddr),
-    #[error("{0}: does not lead, and names no other that was given; give all with --controller")]
+    #[error("{0}: does not lead; give all controllers, each with --controller")]
     NoLeader(SocketAddr),
+    #[error("{0}: another order came first; look at `spindlectl drains` and give yours again")]
+    Conflict(SocketAddr),
+    #[error(
+        "{0}: knows no such thing to drain, or nothing of it is drained; names are those of the settings"
+    )]
+    Unknown(SocketAddr),
     #[error("{0}: answered {1}; its log says why")]
     Status(SocketAddr, u16),
-    #[error("{0}: answered what is no list of jobs; is it of another version?")]
+    #[error("{0}: answered what this command does not read; is it of another version?")]
     Answer(SocketAddr),
 }
 
-/// What the leader among these controllers says is at risk.
-///
-/// # Errors
-/// Which controller stood in the way, and what to do about it.
-pub async fn at_risk(controllers: &[SocketAddr], key: &str) -> Result<AtRisk, AskError> {
-    let client = Client::start(controllers.len(), Vec::new());
-    let mut last = None;
-    for &at in controllers {
-        let question = Question { key: key.to_owned() };
-        let body = serde_json::to_vec(&question).unwrap_or_default();
-        let request = Request { method: Method::Post, target: AT_RISK_PATH.into(), body };
-        let response = match client.call(at, request, Instant::now() + ASK_TIMEOUT).await {
-            Ok(response) => response,
-            Err(CallError::NotSent | CallError::Unknown) => {
-                last = Some(AskError::Silent(at));
-                continue;
-            }
-        };
+/// Controllers, and the key that opens their operators' paths.
+pub struct Cluster {
+    pub controllers: Vec<SocketAddr>,
+    pub key: String,
+}
+
+impl Cluster {
+    async fn post<T: Serialize>(
+        &self,
+        client: &Client,
+        at: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> Result<Response, AskError> {
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        let request = Request { method: Method::Post, target: path.into(), body };
+        let answer = client.call(at, request, Instant::now() + ASK_TIMEOUT).await;
+        let response = answer.map_err(|_| AskError::Silent(at))?;
         match response.status {
-            200 => {
-                return serde_json::from_slice(&response.body).map_err(|_| AskError::Answer(at));
+            200 => Ok(response),
+            421 => Err(AskError::NoLeader(at)),
+            404 => Err(AskError::Shut(at)),
+            409 => Err(AskError::Conflict(at)),
+            422 => Err(AskError::Unknown(at)),
+            other => Err(AskError::Status(at, other)),
+        }
+    }
+
+    /// Answers of the controllers, one after another.
+    async fn all<T: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &T,
+    ) -> Vec<Result<A, AskError>> {
+        let client = Client::start(self.controllers.len(), Vec::new());
+        let mut answers = Vec::new();
+        for &at in &self.controllers {
+            let response = self.post(&client, at, path, body).await;
+            answers.push(response.and_then(|response| {
+                serde_json::from_slice(&response.body).map_err(|_| AskError::Answer(at))
+            }));
+        }
+        answers
+    }
+
+    /// Gives an order to the first controller that takes it.
+    async fn order<T: Serialize>(&self, path: &str, body: &T) -> Result<(), AskError> {
+        let client = Client::start(self.controllers.len(), Vec::new());
+        let mut last = AskError::NoLeader(SocketAddr::from(([0, 0, 0, 0], 0)));
+        for &at in &self.controllers {
+            match self.post(&client, at, path, body).await {
+                Ok(_) => return Ok(()),
+                // It is the same everywhere.
+                Err(error @ (AskError::Conflict(_) | AskError::Unknown(_))) => return Err(error),
+                Err(error) => last = error,
             }
-            // It names who leads; the others on the list are asked in turn.
-            421 => last = Some(AskError::NoLeader(at)),
-            403 | 404 => last = Some(AskError::Shut(at)),
-            other => last = Some(AskError::Status(at, other)),
+        }
+        Err(last)
+    }
+
+    fn question(&self) -> Question {
+        Question { key: self.key.clone() }
+    }
+
+    /// What the leader says is at risk.
+    ///
+    /// # Errors
+    /// Which controller stood in the way, and what to do about it.
+    pub async fn at_risk(&self) -> Result<AtRisk, AskError> {
+        first(self.all(AT_RISK_PATH, &self.question()).await, |_| true)
+    }
+
+    /// What is drained, by the leader if it is among them: the others don't know what is left.
+    ///
+    /// # Errors
+    /// As above.
+    pub async fn drains(&self) -> Result<Drains, AskError> {
+        let told = |drains: &Drains| drains.drains.iter().all(|drain| drain.left.is_some());
+        first(self.all(DRAINS_PATH, &self.question()).await, told)
+    }
+
+    /// # Errors
+    /// As above; an order that came in between is not overwritten.
+    pub async fn drain(&self, order: &DrainOrder) -> Result<(), AskError> {
+        self.order(DRAIN_PATH, order).await
+    }
+
+    /// # Errors
+    /// As above.
+    pub async fn undrain(&self, kind: DrainKind, name: &str) -> Result<(), AskError> {
+        let order = DrainName { key: self.key.clone(), kind, name: name.to_owned() };
+        self.order(UNDRAIN_PATH, &order).await
+    }
+}
+
+/// The first answer that is best, or any, or the last of what stood in the way.
+fn first<A>(answers: Vec<Result<A, AskError>>, best: impl Fn(&A) -> bool) -> Result<A, AskError> {
+    let mut kept = Err(AskError::NoLeader(SocketAddr::from(([0, 0, 0, 0], 0))));
+    for answer in answers {
+        match answer {
+            Ok(answer) if best(&answer) => return Ok(answer),
+            Ok(answer) => kept = Ok(answer),
+            Err(error) if kept.is_err() => kept = Err(error),
+            Err(_) => {}
         }
     }
-    Err(last.unwrap_or(AskError::NoLeader(SocketAddr::from(([0, 0, 0, 0], 0)))))
+    kept
 }
--- a/crates/spindlectl/src/cli.rs
+++ b/crates/spindlectl/src/cli.rs
@@ -1,12 +1,14 @@
 //! The command line.
 
-use crate::{ask, generate, past, replay, report};
+use crate::ask::Cluster;
+use crate::{generate, past, replay, report};
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use troutspindle_protocol::ops::{AtRisk, Drain, DrainKind, DrainOrder, Drains};
 
 /// The operators' command of troutspindle.
 #[derive(Parser)]
@@ -30,6 +32,31 @@
     /// Jobs of a running cluster.
     #[command(subcommand)]
     Jobs(Jobs),
+    /// Starts nothing new in a zone or on a machine and has what runs there leave, until `undrain`.
+    Drain {
+        #[command(flatten)]
+        what: What,
+        /// How long arrays may run there at the most, such as 30m; without it each runs to its end.
+        #[arg(long, value_name = "TIME", value_parser = humantime::parse_duration)]
+        by: Option<std::time::Duration>,
+        /// Why, for whoever looks at it later.
+        #[arg(long, default_value = "")]
+        reason: String,
+        /// Who orders it.
+        #[arg(long, env = "USER", default_value = "unknown")]
+        author: String,
+        #[command(flatten)]
+        from: Controllers,
+    },
+    /// Ends a drain: the zone or machine is used again.
+    Undrain {
+        #[command(flatten)]
+        what: What,
+        #[command(flatten)]
+        from: Controllers,
+    },
+    /// What is drained, and what is left there.
+    Drains(Controllers),
     /// Learned run times, tried on histories of jobs.
     #[command(subcommand)]
     Estimates(Estimates),
@@ -43,6 +70,29 @@
     AtRisk(Controllers),
 }
 
+#[derive(Args)]
+struct What {
+    #[arg(value_enum)]
+    kind: Kind,
+    /// The zone or machine, as the controllers name it.
+    name: String,
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Kind {
+    Zone,
+    Machine,
+}
+
+impl From<Kind> for DrainKind {
+    fn from(kind: Kind) -> DrainKind {
+        match kind {
+            Kind::Zone => DrainKind::Zone,
+            Kind::Machine => DrainKind::Machine,
+        }
+    }
+}
+
 #[derive(Args)]
 struct Controllers {
     /// Where a controller listens; given for each of them, since only the leader knows.
@@ -96,39 +146,107 @@
     Ok(())
 }
 
-fn at_risk(from: &Controllers, output: Output) -> Ran {
-    let name = from.key_file.display();
-    let key = std::fs::read_to_string(&from.key_file)
-        .map_err(|error| format!("{name}: {error}; --key-file names a file with `operator_key`"))?;
+impl Controllers {
+    fn cluster(&self) -> Result<Cluster, Box<dyn std::error::Error>> {
+        let name = self.key_file.display();
+        let key = std::fs::read_to_string(&self.key_file).map_err(|error| {
+            format!("{name}: {error}; --key-file names a file with `operator_key`")
+        })?;
+        Ok(Cluster { controllers: self.controllers.clone(), key: key.trim().to_owned() })
+    }
+}
+
+/// Runs one conversation with controllers.
+fn converse<T, E: std::error::Error + 'static>(
+    talk: impl Future<Output = Result<T, E>>,
+) -> Result<T, Box<dyn std::error::Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let found = runtime.block_on(ask::at_risk(&from.controllers, key.trim()))?;
-    write(output, &found, |found| {
-        let mut text = format!("leader {}: {} jobs at risk\n", found.leader, found.jobs.len());
-        for job in &found.jobs {
-            text += &format!(
-                "{}  {} of {}  late {:.0}%  due in {:.0} s, done in {:.0} s  {} of {} tasks  {}\n",
-                job.job,
-                job.class,
-                job.team,
-                job.late * 100.0,
-                job.due_in_s,
-                job.done_in_s,
-                job.done_tasks,
-                job.tasks,
-                job.grade
-            );
-        }
+    Ok(runtime.block_on(talk)?)
+}
+
+fn at_risk_text(found: &AtRisk) -> String {
+    let mut text = format!("leader {}: {} jobs at risk\n", found.leader, found.jobs.len());
+    for job in &found.jobs {
         text += &format!(
-            "warned of {}: {} late, {} in time; {} late without a warning\n",
-            found.warned, found.warned_late, found.warned_in_time, found.late_unwarned
+            "{}  {} of {}  late {:.0}%  due in {:.0} s, done in {:.0} s  {} of {} tasks  {}\n",
+            job.job,
+            job.class,
+            job.team,
+            job.late * 100.0,
+            job.due_in_s,
+            job.done_in_s,
+            job.done_tasks,
+            job.tasks,
+            job.grade
         );
-        text
-    })
+    }
+    text += &format!(
+        "warned of {}: {} late, {} in time; {} late without a warning\n",
+        found.warned, found.warned_late, found.warned_in_time, found.late_unwarned
+    );
+    text
+}
+
+fn seconds(s: f64) -> String {
+    let whole = std::time::Duration::from_secs(s.abs() as u64);
+    let sign = if s < 0.0 { "-" } else { "" };
+    format!("{sign}{}", humantime::format_duration(whole))
+}
+
+fn drain_text(drain: &Drain) -> String {
+    let kind = format!("{:?}", drain.kind).to_lowercase();
+    let by =
+        drain.by_in_s.map_or("no time set".into(), |s| format!("to be done in {}", seconds(s)));
+    let left = match (drain.left, drain.stuck) {
+        (Some(0), _) => "empty".into(),
+        (Some(left), Some(0)) => format!("{left} tasks left"),
+        (Some(left), Some(stuck)) => {
+            format!("{left} tasks left, {stuck} of which can neither leave nor end in time")
+        }
+        _ => "only the leader knows what is left".into(),
+    };
+    let (since, author, reason) = (seconds(drain.since_s), &drain.author, &drain.reason);
+    format!("{kind} {}: {left}; {by}; since {since}, by {author}: {reason}\n", drain.name)
+}
+
+fn drains_text(found: &Drains) -> String {
+    if found.drains.is_empty() {
+        return "nothing is drained\n".into();
+    }
+    found.drains.iter().map(drain_text).collect()
 }
 
 fn carry_out(cli: Cli) -> Ran {
     match cli.command {
-        Command::Jobs(Jobs::AtRisk(from)) => at_risk(&from, cli.output),
+        Command::Jobs(Jobs::AtRisk(from)) => {
+            let found = converse(from.cluster()?.at_risk())?;
+            write(cli.output, &found, at_risk_text)
+        }
+        Command::Drain { what, by, reason, author, from } => {
+            let cluster = from.cluster()?;
+            let order = DrainOrder {
+                key: cluster.key.clone(),
+                kind: what.kind.into(),
+                name: what.name,
+                by_s: by.map(|by| by.as_secs_f64()),
+                author,
+                reason,
+            };
+            converse(cluster.drain(&order))?;
+            // What it will leave is told at once.
+            let found = converse(cluster.drains())?;
+            write(cli.output, &found, drains_text)
+        }
+        Command::Undrain { what, from } => {
+            let cluster = from.cluster()?;
+            converse(cluster.undrain(what.kind.into(), &what.name))?;
+            let found = converse(cluster.drains())?;
+            write(cli.output, &found, drains_text)
+        }
+        Command::Drains(from) => {
+            let found = converse(from.cluster()?.drains())?;
+            write(cli.output, &found, drains_text)
+        }
         Command::Estimates(Estimates::Generate { seed, days, classes, out }) => {
             let bar = progress(classes as u64, "classes");
             let jobs = generate::generate(seed, days, classes, || bar.inc(1));
--- a/src/api.rs
+++ b/src/api.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use tokio::time::Instant;
-use troutspindle_protocol::ops::AT_RISK_PATH;
+use troutspindle_protocol::ops;
 
 /// Where a request goes.
 #[derive(Debug, PartialEq, Eq)]
@@ -25,6 +25,9 @@
     Abort(JobId),
     /// Operators ask what is at risk.
     AtRisk,
+    Drain,
+    Undrain,
+    Drains,
     Unknown,
     WrongMethod,
 }
@@ -32,11 +35,16 @@
 pub fn route(request: &Request) -> Route {
     let path = request.target.split('?').next().unwrap_or("");
     let want = |method, route| if request.method == method { route } else { Route::WrongMethod };
+    // Operators' paths that are shut are not there, whatever is asked of them.
+    let ops_want = |route| if request.method == Method::Post { route } else { Route::Unknown };
     match path {
         "/up" => want(Method::Get, Route::Up),
         "/hello" => want(Method::Post, Route::Hello),
         "/api/jobs" => want(Method::Post, Route::Submit),
-        AT_RISK_PATH => want(Method::Post, Route::AtRisk),
+        ops::AT_RISK_PATH => ops_want(Route::AtRisk),
+        ops::DRAIN_PATH => ops_want(Route::Drain),
+        ops::UNDRAIN_PATH => ops_want(Route::Undrain),
+        ops::DRAINS_PATH => ops_want(Route::Drains),
         _ => match path.strip_prefix("/api/jobs/") {
             Some(rest) => match rest.split_once('/') {
                 None if valid_id(rest) => want(Method::Get, Route::Poll(JobId::new(rest))),
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -105,6 +105,12 @@
 /// Count. Orders in one answer to a worker, which keeps it far below 64 KiB.
 pub const ORDERS_MAX: usize = 300;
 
+/// Pause between two rounds of moves off what is drained.
+pub const DRAIN_EVERY: Duration = Duration::from_secs(1);
+/// Seconds. A task that saves is told so much earlier than its time is up: for the command and its report.
+pub const DRAIN_MARGIN_S: f64 = 5.0;
+/// Bytes. Texts in an operator's order.
+pub const NOTE_MAX: usize = 200;
 /// Count. Estimates found anew before a planning pass, some microseconds each.
 pub const ESTIMATES_A_PASS: usize = 200;
 /// How old an estimate may be that decisions use.
--- /dev/null
+++ b/src/drains.rs
@@ -0,0 +1,54 @@
+//! Drains as they are kept at the state service: what operators ordered, until they take it back. Versions
+//! before this one pass the keys over and go on placing tasks there while they lead.
+
+use crate::records;
+use crate::state::Cache;
+use serde::{Deserialize, Serialize};
+use troutspindle_protocol::ops::DrainKind;
+
+pub const DRAIN_PREFIX: &str = "t/q/";
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainRecord {
+    pub kind: DrainKind,
+    pub name: String,
+    /// Milliseconds of the time of day: by when it is to be done, and when it was ordered.
+    #[serde(default)]
+    pub by_ms: Option<u64>,
+    pub at_ms: u64,
+    #[serde(default)]
+    pub author: String,
+    #[serde(default)]
+    pub reason: String,
+}
+
+/// Names may be of any text, keys may not.
+pub fn key(kind: DrainKind, name: &str) -> String {
+    format!("{DRAIN_PREFIX}{}", records::tag(&(kind, name)))
+}
+
+/// What is drained, looked up for many machines.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Drained {
+    records: Vec<DrainRecord>,
+}
+
+impl Drained {
+    pub fn read(cache: &Cache) -> Drained {
+        Drained { records: cache.drains.values().map(|(record, _)| record.clone()).collect() }
+    }
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+    pub fn zone(&self, name: &str) -> bool {
+        self.records.iter().any(|drain| drain.kind == DrainKind::Zone && drain.name == name)
+    }
+    /// The drain that holds a machine, the one that is to be done first.
+    pub fn of(&self, machine: &str, zone: &str) -> Option<&DrainRecord> {
+        let holds = |drain: &&DrainRecord| match drain.kind {
+            DrainKind::Zone => drain.name == zone,
+            DrainKind::Machine => drain.name == machine,
+        };
+        self.records.iter().filter(holds).min_by_key(|drain| drain.by_ms.unwrap_or(u64::MAX))
+    }
+}
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -29,12 +29,14 @@
 
 mod asks;
 mod chains;
+pub mod drains;
 mod learning;
 mod lost;
 mod moves;
 mod stops;
 mod tidy;
 
+use drains::Draining;
 use learning::Learning;
 use stops::Stoppable;
 use tidy::Tidy;
@@ -195,6 +197,7 @@
     carried_old: bool,
     tidy: Tidy,
     learning: Learning,
+    draining: Draining,
     pub grants: Grants,
     pub direct: Vec<(MachineId, SocketAddr, Direct)>,
     pub last_report: Instant,
@@ -252,6 +255,7 @@
             carried_old: true,
             tidy: Tidy::new(now),
             learning: Learning::new(cache),
+            draining: Draining::default(),
             direct: Vec::new(),
             last_report: now,
             reports: 0,
@@ -1005,6 +1009,7 @@
             self.watch_at = now + WATCH_EVERY;
             self.watch_machines(&state.cache, cloud, now);
             self.store_gone(state);
+            self.read_drains(&state.cache);
             self.tidy_up(state, now);
             self.store_estimates(state, now);
             self.warn_of_late(&state.cache, now);
@@ -1323,11 +1328,16 @@
         let mut names = Vec::new();
         let hold = Duration::from_secs_f64(settings.operator.hold_s);
         let overdue = self.overdue(now);
+        let drained = self.draining.drained.clone();
         for machine in self.machines.values_mut() {
             let flavor = &self.flavors[machine.flavor];
             let booting = machine.life == Life::Booting && !overdue(machine, flavor);
             // What is being emptied takes nothing until it is empty.
             let emptying = machine.emptied_at.is_some_and(|at| now < at + CONSOLIDATE_EVERY);
+            let name = &settings.platform.params.zones[machine.zone];
+            if !drained.is_empty() && drained.of(machine.id.as_str(), name).is_some() {
+                continue;
+            }
             let up = machine.life == Life::Up
                 && (!emptying || machine.is_empty())
                 && machine.recall_at.is_none()
@@ -1494,7 +1504,9 @@
         }
         let real_asks = asks.len();
         self.coming_asks(&mut asks, coming, cache, &sizes);
-        let silent = self.silent_zones(now);
+        let mut silent = self.silent_zones(now);
+        // No room is kept, and nothing rented, where all is to leave.
+        silent.iter_mut().zip(self.drained_zones()).for_each(|(shut, drained)| *shut |= drained);
         self.warm_asks(&mut asks, &sizes, &silent, params.teams.len());
 
         let (mut bins, mut names) = self.bins(&sizes, now);
@@ -1518,10 +1530,13 @@
         // Least urgent work that waits is no reason to leave others scattered: what is emptied it
         // can use, and room that it needs itself is not free.
         let quiet = asks[..real_asks].iter().all(|ask| ask.urgency == Urgency::Low);
-        if quiet && unsure.is_empty() && now >= self.consolidate_at {
+        if quiet && unsure.is_empty() && now >= self.consolidate_at && !self.is_draining() {
             self.consolidate_at = now + CONSOLIDATE_EVERY;
             self.consolidate(&bins, &names, cache, now);
         }
+        if unsure.is_empty() {
+            self.move_off(&bins, &names, cache, now);
+        }
         let total = bins.len();
         let heavy_cap = ((total as f64 * settings.operator.heavy_cap) as usize).max(1);
         let mut kinds = self.offers(&sizes, &pending, now);
--- /dev/null
+++ b/src/foreman/drains.rs
@@ -0,0 +1,266 @@
+//! Emptying what operators drain: nothing new starts there, replicas move one of a service at a time and only
+//! where there is room for them, tasks that save move too, others end or are stopped when the time is up.
+//!
+//! Nothing of this is kept but the order itself: a new leader goes on from what it finds running.
+
+use super::*;
+use crate::drains::Drained;
+use troutspindle_protocol::ops::{Drain, DrainKind, Drains};
+
+#[derive(Debug, Default)]
+pub(super) struct Draining {
+    pub drained: Drained,
+    at: Option<Instant>,
+}
+
+impl Foreman {
+    /// Whether anything is still to leave: no other moves are made meanwhile, that might take a second
+    /// replica of a service.
+    pub(super) fn is_draining(&self) -> bool {
+        !self.draining.drained.is_empty()
+            && self.machines.values().any(|m| !m.is_empty() && self.is_drained(m))
+    }
+}
+
+/// A task that could leave, and what it needs elsewhere.
+struct Leaver {
+    key: TaskAttempt,
+    machine: MachineId,
+    grace_s: f64,
+}
+
+impl Foreman {
+    pub(super) fn read_drains(&mut self, cache: &Cache) {
+        let drained = Drained::read(cache);
+        if drained != self.draining.drained {
+            self.draining.drained = drained;
+            self.plan_wanted = true;
+        }
+    }
+
+    fn zone_name(&self, zone: usize) -> &str {
+        &self.settings.platform.params.zones[zone]
+    }
+
+    pub(super) fn is_drained(&self, machine: &Machine) -> bool {
+        let drained = &self.draining.drained;
+        !drained.is_empty()
+            && drained.of(machine.id.as_str(), self.zone_name(machine.zone)).is_some()
+    }
+
+    pub(super) fn drained_zones(&self) -> Vec<bool> {
+        let zones = &self.settings.platform.params.zones;
+        zones.iter().map(|zone| self.draining.drained.zone(zone)).collect()
+    }
+
+    /// Seconds until a machine has to be empty; none if it is not drained, or by no time.
+    fn drain_left_s(&self, machine: &Machine, now: Instant) -> Option<f64> {
+        let drain = self.draining.drained.of(machine.id.as_str(), self.zone_name(machine.zone))?;
+        Some((drain.by_ms? as f64 - self.wall.ms(now) as f64) / 1000.0)
+    }
+
+    /// One round of moves and stops. `bins` are the machines that may take tasks: none that is drained.
+    pub(super) fn move_off(
+        &mut self,
+        bins: &[Bin],
+        names: &[Option<MachineId>],
+        cache: &Cache,
+        now: Instant,
+    ) {
+        if self.draining.drained.is_empty() || self.draining.at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.draining.at = Some(now + DRAIN_EVERY);
+        let mut leavers = self.replicas_that_leave(bins, names, cache, now);
+        leavers.extend(self.out_of_time(cache, now));
+        for Leaver { key, machine, grace_s } in leavers {
+            let Some(machine) = self.machines.get_mut(&machine) else { continue };
+            tracing::info!(machine = %machine.id, task = %key.0, grace_s, "leaves what is drained");
+            machine.stop(&key, Stop { grace_s, reason: MOVED });
+            self.stops += 1;
+        }
+    }
+
+    /// Replicas of services, one of each at a time and none while another is down, and tasks that save; as
+    /// many as find room elsewhere.
+    fn replicas_that_leave(
+        &self,
+        bins: &[Bin],
+        names: &[Option<MachineId>],
+        cache: &Cache,
+        now: Instant,
+    ) -> Vec<Leaver> {
+        let mut free: Vec<Amount> = bins.iter().map(|bin| bin.free).collect();
+        let mut leavers = Vec::new();
+        let (mut here, mut all, mut hurry_s) = (0u64, 0u64, f64::INFINITY);
+        for machine in self.machines.values().filter(|m| m.life == Life::Up) {
+            let tasks = machine.entries.values().filter(|e| e.state == TaskState::Running);
+            let tasks = tasks.count() as u64;
+            all += tasks;
+            if self.is_drained(machine) {
+                here += tasks;
+                hurry_s = hurry_s.min(self.drain_left_s(machine, now).unwrap_or(f64::INFINITY));
+            }
+        }
+        // As gently as other moves, unless there is no time for that.
+        let gentle = all as f64 * MOVE_SHARE;
+        let hurried = here as f64 * DRAIN_EVERY.as_secs_f64() / (hurry_s / 2.0).max(1.0);
+        let most = gentle.max(hurried).ceil() as usize;
+        for (id, work) in &self.work {
+            if leavers.len() >= most {
+                break;
+            }
+            let Some(live) = self.live(cache, id) else { continue };
+            let service = live.spec.shape == Shape::Service;
+            let saves = live.spec.shape == Shape::Array && live.spec.checkpoint_s > 0.0;
+            let entry = |index: u32, (machine, attempt): &(MachineId, Attempt)| {
+                let machine = self.machines.get(machine)?;
+                let key = (TaskId { job: id.clone(), index }, *attempt);
+                let entry = machine.entries.get(&key)?;
+                let runs = entry.state == TaskState::Running && entry.stop.is_none();
+                runs.then_some((key, machine))
+            };
+            let whole = || work.placed.iter().all(|(n, at)| entry(*n, at).is_some());
+            if !(service || saves) || (service && (work.waiting(live) > 0 || !whole())) {
+                continue;
+            }
+            for (index, at) in &work.placed {
+                let Some((key, machine)) = entry(*index, at) else { continue };
+                if !self.is_drained(machine) {
+                    continue;
+                }
+                let Some(target) = self.room_for(live, work, *index, machine, bins, names, &free)
+                else {
+                    continue;
+                };
+                free[target] = free[target].minus(&live.need);
+                let grace_s = if saves { live.spec.save_s } else { 0.0 };
+                leavers.push(Leaver { key, machine: machine.id.clone(), grace_s });
+                if service || leavers.len() >= most {
+                    break;
+                }
+            }
+        }
+        leavers
+    }
+
+    /// A machine that would take the task in place of where it is, one with its image before others.
+    #[allow(clippy::too_many_arguments)]
+    fn room_for(
+        &self,
+        live: &LiveJob,
+        work: &Work,
+        index: u32,
+        from: &Machine,
+        bins: &[Bin],
+        names: &[Option<MachineId>],
+        free: &[Amount],
+    ) -> Option<usize> {
+        let spec = &live.spec;
+        let half = (spec.tasks as u32).div_ceil(2);
+        let mut there = vec![0u32; self.settings.platform.params.zones.len()];
+        for (_, (machine, _)) in work.placed.iter().filter(|(n, _)| **n != index) {
+            if let Some(machine) = self.machines.get(machine) {
+                there[machine.zone] += 1;
+            }
+        }
+        let may = |bin: &Bin| {
+            let zone = bin.zone;
+            bin.ready
+                && (spec.spot || !bin.spot)
+                && spec.zone.as_deref().is_none_or(|name| name == self.zone_name(zone))
+                && spec.flavors.as_ref().is_none_or(|f| f.contains(&self.flavors[bin.flavor].name))
+                && (!spec.spread || there[zone] < half)
+                // What has to be in one zone stays there as long as any of it does.
+                && (!spec.one_zone || zone == from.zone || there[from.zone] == 0)
+        };
+        let fits = |at: &usize| may(&bins[*at]) && live.need.fits(&free[*at]);
+        let warm = |at: usize| {
+            let machine = names[at].as_ref().and_then(|id| self.machines.get(id));
+            machine.is_some_and(|m| m.images.iter().any(|image| **image == *spec.image))
+        };
+        (0..bins.len()).filter(fits).min_by_key(|at| (!warm(*at), bins[*at].index))
+    }
+
+    /// Tasks of arrays and gangs whose time on what is drained is up; those that save are told early enough.
+    /// Replicas that have no other place run on: nobody gains by stopping them.
+    fn out_of_time(&self, cache: &Cache, now: Instant) -> Vec<Leaver> {
+        let mut leavers = Vec::new();
+        for machine in self.machines.values().filter(|m| m.life == Life::Up) {
+            let Some(left_s) = self.drain_left_s(machine, now) else { continue };
+            for (key, entry) in &machine.entries {
+                if entry.stop.is_some() || entry.state == TaskState::Exited {
+                    continue;
+                }
+                let Some(live) = cache.jobs.get(&key.0.job).and_then(Job::live) else { continue };
+                let spec = &live.spec;
+                let save_s = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
+                let early_s = if save_s > 0.0 { save_s + DRAIN_MARGIN_S } else { 0.0 };
+                if spec.shape != Shape::Service && left_s <= early_s {
+                    let machine = machine.id.clone();
+                    leavers.push(Leaver { key: key.clone(), machine, grace_s: save_s });
+                }
+            }
+        }
+        leavers
+    }
+
+    /// What is drained, and what is left there.
+    pub fn drains(&self, cache: &Cache, now: Instant) -> Drains {
+        let mut drains = list(cache, self.wall, now);
+        for drain in &mut drains.drains {
+            let (mut left, mut stuck) = (0, 0);
+            for machine in self.machines.values() {
+                let here = match drain.kind {
+                    DrainKind::Zone => self.zone_name(machine.zone) == drain.name,
+                    DrainKind::Machine => machine.id.as_str() == drain.name,
+                };
+                let tasks = machine.entries.iter().filter(|(_, e)| e.state != TaskState::Exited);
+                for ((task, _), entry) in tasks.filter(|_| here) {
+                    left += 1;
+                    stuck += u64::from(self.is_stuck(task, entry, drain.by_in_s, cache, now));
+                }
+            }
+            (drain.left, drain.stuck) = (Some(left), Some(stuck));
+        }
+        drains
+    }
+
+    /// Whether a task can neither move nor, as far as is known, end in time.
+    fn is_stuck(
+        &self,
+        task: &TaskId,
+        entry: &Entry,
+        by_in_s: Option<f64>,
+        cache: &Cache,
+        now: Instant,
+    ) -> bool {
+        let Some(live) = cache.jobs.get(&task.job).and_then(Job::live) else { return false };
+        let spec = &live.spec;
+        let pinned = spec.zone.as_ref().is_some_and(|zone| self.draining.drained.zone(zone));
+        if spec.shape == Shape::Service {
+            let open = self.drained_zones().iter().filter(|drained| !**drained).count();
+            return pinned || open == 0 || (spec.spread && open == 1);
+        }
+        let ran_s =
+            entry.running_since.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+        let rest_s = self.learning.rest_s(&task.job, ran_s).unwrap_or(spec.expect_s - ran_s);
+        spec.checkpoint_s <= 0.0 && by_in_s.is_some_and(|left_s| rest_s > left_s)
+    }
+}
+
+/// What is drained, as any controller knows it.
+pub fn list(cache: &Cache, wall: Wall, now: Instant) -> Drains {
+    let now_ms = wall.ms(now) as f64;
+    let drains = cache.drains.values().map(|(record, _)| Drain {
+        kind: record.kind,
+        name: record.name.clone(),
+        by_in_s: record.by_ms.map(|by| (by as f64 - now_ms) / 1000.0),
+        since_s: (now_ms - record.at_ms as f64) / 1000.0,
+        author: record.author.clone(),
+        reason: record.reason.clone(),
+        left: None,
+        stuck: None,
+    });
+    Drains { drains: drains.collect() }
+}
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -95,6 +95,7 @@
                 && machine.confirmed
                 && machine.recorded
                 && machine.recall_at.is_none()
+                && !self.is_drained(machine)
                 && !machine.faulty
                 && machine.silent_for(now) < quiet
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod cloud;
 pub mod constants;
+pub mod drains;
 pub mod election;
 pub mod faults;
 pub mod fleet;
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,6 +4,7 @@
 use crate::clock::Wall;
 use crate::cloud::{CloudCall, CloudCore, CloudEvent};
 use crate::constants::*;
+use crate::drains::{self, DrainRecord};
 use crate::election::{Election, ElectionEvent};
 use crate::foreman::{Direct, Foreman};
 use crate::http::{self, CallError, Client, Incoming, Method, Request, Response};
@@ -209,10 +210,11 @@
             }
             Route::Hello => Some(self.on_hello(&request.body, now)),
             Route::Unknown => Some(Response::empty(404)),
-            // Paths that are shut are not there, whatever is asked of them.
-            Route::WrongMethod if request.target == ops::AT_RISK_PATH => Some(Response::empty(404)),
             Route::WrongMethod => Some(Response::empty(405)),
             Route::AtRisk => Some(self.on_at_risk(&request.body, now)),
+            Route::Drains => Some(self.on_drains(&request.body, now)),
+            Route::Drain => self.on_drain(ticket, &request.body, now),
+            Route::Undrain => self.on_undrain(ticket, &request.body),
             user => self.api.on_request(ticket, user, &request.body, &mut self.state, now),
         };
         if let Some(response) = response {
@@ -220,12 +222,16 @@
         }
     }
 
-    /// An operator asks; whoever does not know the key learns not even that there is such a path.
-    fn on_at_risk(&self, body: &[u8], now: Instant) -> Response {
+    /// Whether an operator's key was shown. Whoever does not know it learns not even that there is such a
+    /// path.
+    fn opens(&self, shown: &str) -> bool {
         let key = self.settings.operator.operator_key.0.as_bytes();
-        let asked = serde_json::from_slice::<ops::Question>(body);
-        let shown = asked.is_ok_and(|asked| asked.key.as_bytes().ct_eq(key).into());
-        if key.is_empty() || !shown {
+        !key.is_empty() && bool::from(shown.as_bytes().ct_eq(key))
+    }
+
+    fn on_at_risk(&self, body: &[u8], now: Instant) -> Response {
+        if !serde_json::from_slice::<ops::Question>(body).is_ok_and(|asked| self.opens(&asked.key))
+        {
             return Response::empty(404);
         }
         match &self.foreman {
@@ -237,6 +243,93 @@
         }
     }
 
+    fn on_drains(&self, body: &[u8], now: Instant) -> Response {
+        if !serde_json::from_slice::<ops::Question>(body).is_ok_and(|asked| self.opens(&asked.key))
+        {
+            return Response::empty(404);
+        }
+        let cache = &self.state.cache;
+        let found = match &self.foreman {
+            Some(foreman) if self.election.may_act(now) => foreman.drains(cache, now),
+            _ => crate::foreman::drains::list(cache, self.api.wall, now),
+        };
+        Response::with(200, serde_json::to_vec(&found).unwrap_or_default())
+    }
+
+    /// Any controller writes an operator's order down; the answer comes when it is there.
+    fn on_drain(&mut self, ticket: u64, body: &[u8], now: Instant) -> Option<Response> {
+        let Ok(order) = serde_json::from_slice::<ops::DrainOrder>(body) else {
+            return Some(Response::empty(404));
+        };
+        if !self.opens(&order.key) {
+            return Some(Response::empty(404));
+        }
+        let known = match order.kind {
+            ops::DrainKind::Zone => self.settings.platform.params.zones.contains(&order.name),
+            ops::DrainKind::Machine => {
+                self.state.cache.machines.contains_key(&MachineId::new(&order.name))
+            }
+        };
+        let texts = [&order.author, &order.reason];
+        let sane = texts.iter().all(|text| text.len() <= NOTE_MAX)
+            && order.by_s.is_none_or(|by_s| (0.0..1e8).contains(&by_s));
+        if !known || !sane {
+            return Some(Response::empty(422));
+        }
+        let at_ms = self.api.wall.ms(now);
+        let record = DrainRecord {
+            kind: order.kind,
+            name: order.name,
+            by_ms: order.by_s.map(|by_s| at_ms.saturating_add((by_s * 1000.0) as u64)),
+            at_ms,
+            author: order.author,
+            reason: order.reason,
+        };
+        let key = drains::key(record.kind, &record.name);
+        self.order(ticket, key, Some(records::data(&record)))
+    }
+
+    fn on_undrain(&mut self, ticket: u64, body: &[u8]) -> Option<Response> {
+        let Ok(order) = serde_json::from_slice::<ops::DrainName>(body) else {
+            return Some(Response::empty(404));
+        };
+        if !self.opens(&order.key) {
+            return Some(Response::empty(404));
+        }
+        let key = drains::key(order.kind, &order.name);
+        if !self.state.cache.drains.contains_key(&key) {
+            return Some(Response::empty(422));
+        }
+        self.order(ticket, key, None)
+    }
+
+    /// Writes a drain, or removes it, guarded by what this controller knows of it: of two operators at once one
+    /// is told to look again.
+    fn order(&mut self, ticket: u64, key: String, data: Option<Data>) -> Option<Response> {
+        if !self.state.cache.loaded {
+            return Some(Response::later(503));
+        }
+        let rev = self.state.cache.drains.get(&key).map(|(_, rev)| *rev).unwrap_or_default();
+        let guards = vec![Guard { key: key.clone(), rev }];
+        let write = match data {
+            Some(data) => Write::Put { key, data, hold: None },
+            None => Write::Delete { key },
+        };
+        let change = jobs::Change { guards, writes: vec![write] };
+        self.state.push(Item { rank: Rank::Awaited, origin: Origin::Operator(ticket), change });
+        None
+    }
+
+    fn on_ordered(&mut self, ticket: u64, outcome: Outcome) {
+        let response = match outcome {
+            Outcome::Committed => Response::empty(200),
+            Outcome::Conflict => Response::empty(409),
+            Outcome::Invalid => Response::empty(422),
+            Outcome::Refused | Outcome::Unknown => Response::later(503),
+        };
+        self.reply(ticket, response);
+    }
+
     /// Up while requests can be taken; a node that alone has lost the store says no, so that
     /// users go where it is served.
     fn is_up(&self, now: Instant) -> bool {
@@ -782,6 +875,9 @@
                     self.reply(ticket, response);
                 }
             }
+            StateEvent::Outcome(Origin::Operator(ticket), outcome) => {
+                self.on_ordered(ticket, outcome);
+            }
             StateEvent::Outcome(Origin::User(ticket), outcome) => {
                 let answer = self.api.on_outcome(ticket, outcome, &mut self.state, now);
                 if let Some(response) = answer {
@@ -1039,4 +1135,72 @@
         assert_eq!(ask(key, Method::Get, key), 404);
         assert_eq!(ask(key, Method::Post, key), 421);
     }
+
+    /// An order is answered once it is written; of two operators at once one is told to look again, and what
+    /// there is not is not drained.
+    #[test]
+    fn an_operators_order_is_answered_when_it_is_kept() {
+        let key = "a key of some length";
+        let now = Instant::now();
+        let mut settings = crate::settings::plain(r#"[{"name":"t","cpus_max":8.0}]"#);
+        settings.operator.operator_key = crate::settings::Secret(key.into());
+        let mut node = Node::new(Arc::new(settings), 1, Wall { at: now, ms: 5 }).unwrap();
+        let drain = |name: &str| ops::DrainOrder {
+            key: key.into(),
+            kind: ops::DrainKind::Zone,
+            name: name.into(),
+            by_s: Some(60.0),
+            author: "x".into(),
+            reason: String::new(),
+        };
+        let send = |node: &mut Node, ticket: u64, path: &str, body: Vec<u8>| {
+            let request = Request { method: Method::Post, target: path.into(), body };
+            node.on_http(ticket, request, now);
+        };
+        let body = |order: &ops::DrainOrder| serde_json::to_vec(order).unwrap();
+        let told = |node: &mut Node| -> Vec<(u64, u16)> {
+            let replies = node.out.drain(..).filter_map(|effect| match effect {
+                Effect::Reply(ticket, response) => Some((ticket, response.status)),
+                _ => None,
+            });
+            replies.collect()
+        };
+        send(&mut node, 1, ops::DRAIN_PATH, body(&drain("a")));
+        assert_eq!(told(&mut node), [(1, 503)], "nothing is known of the store yet");
+        node.state.poll(now);
+        let (id, _) = node.state.calls.pop_front().unwrap();
+        let page = wire::Page { rows: vec![], truncated: false, rev: Revision(1) };
+        node.state.on_reply(id, StateReply::Page(page), now);
+        send(&mut node, 2, ops::DRAIN_PATH, body(&drain("nowhere")));
+        let undrain =
+            ops::DrainName { key: key.into(), kind: ops::DrainKind::Zone, name: "a".into() };
+        let undrain = serde_json::to_vec(&undrain).unwrap();
+        send(&mut node, 3, ops::UNDRAIN_PATH, undrain.clone());
+        assert_eq!(told(&mut node), [(2, 422), (3, 422)]);
+        for (ticket, path, order, reply, status) in [
+            (4, ops::DRAIN_PATH, body(&drain("a")), None, 409),
+            (5, ops::DRAIN_PATH, body(&drain("a")), Some(Revision(7)), 200),
+            (6, ops::UNDRAIN_PATH, undrain, Some(Revision(9)), 200),
+        ] {
+            send(&mut node, ticket, path, order);
+            assert_eq!(told(&mut node), [], "not before it is kept");
+            node.state.poll(now);
+            let calls: Vec<_> = node.state.calls.drain(..).collect();
+            let commit = calls.into_iter().find_map(|(id, call)| match call {
+                StateCall::Commit(txn) => Some((id, txn)),
+                _ => None,
+            });
+            let (id, txn) = commit.unwrap();
+            let reply = match reply {
+                Some(rev) => StateReply::Committed(rev),
+                None => StateReply::Conflict(vec![txn.guards[0].key.clone()]),
+            };
+            node.state.on_reply(id, reply, now);
+            while let Some(event) = node.state.events.pop_front() {
+                node.on_state(event, now);
+            }
+            assert_eq!(told(&mut node), [(ticket, status)]);
+        }
+        assert!(node.state.cache.drains.is_empty());
+    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 //! read-index and the group commit. The actor in [`crate::node`] carries its calls out.
 
 use crate::constants::*;
+use crate::drains::{DRAIN_PREFIX, DrainRecord};
 use crate::http::{CallError, Method, Request, Response};
 use crate::ids::{JobId, LeaseId, MachineId, NodeName, Revision, Token};
 use crate::jobs::{self, Jobs};
@@ -61,6 +62,8 @@
     /// Which format each controller says that it reads.
     pub versions: BTreeMap<NodeName, (VersionRecord, Revision)>,
     pub machines: BTreeMap<MachineId, (MachineRecord, Revision)>,
+    /// What operators drain, by key.
+    pub drains: BTreeMap<String, (DrainRecord, Revision)>,
     /// Run times that were learned, as they are kept.
     pub estimates: BTreeMap<u8, (Option<String>, Revision)>,
     /// Revisions of the controllers' signs of life.
@@ -83,6 +86,7 @@
             flavor_keys: HashMap::new(),
             versions: BTreeMap::new(),
             machines: BTreeMap::new(),
+            drains: BTreeMap::new(),
             estimates: BTreeMap::new(),
             presences: BTreeMap::new(),
             relays: HashMap::new(),
@@ -131,6 +135,15 @@
                     self.machines.remove(&id);
                 }
             }
+        } else if key.starts_with(DRAIN_PREFIX) {
+            if self.drains.get(key).is_some_and(|(_, old)| *old >= rev) {
+                return None;
+            }
+            match value.map(Data::deserialized) {
+                Some(Ok(record)) => drop(self.drains.insert(key.to_owned(), (record, rev))),
+                Some(Err(_)) => tracing::error!(key, "unreadable drain"),
+                None => drop(self.drains.remove(key)),
+            }
         } else if let Some(bucket) = key.strip_prefix(ESTIMATES_PREFIX) {
             let bucket = u8::from_str_radix(bucket, 16).ok()?;
             let known = self.estimates.entry(bucket).or_default();
@@ -286,6 +299,8 @@
     Version,
     /// What is left over of jobs that are over.
     Tidy,
+    /// An operator's order, by its ticket.
+    Operator(u64),
     /// Run times that were learned, by bucket.
     Estimates(u8),
     /// A user's request, by its ticket.
@@ -392,6 +407,7 @@
     machines: HashSet<MachineId>,
     versions: HashSet<NodeName>,
     presences: HashSet<NodeName>,
+    drains: HashSet<String>,
     leader: bool,
 }
 
@@ -854,6 +870,9 @@
             if let Some(node) = row.key.strip_prefix(PRESENCE_PREFIX) {
                 loading.presences.insert(NodeName::new(node));
             }
+            if row.key.starts_with(DRAIN_PREFIX) {
+                loading.drains.insert(row.key.clone());
+            }
             loading.leader |= row.key == LEADER_KEY;
             self.cache.take(&row.key, Some(&row.data), row.rev);
         }
@@ -870,6 +889,7 @@
         self.cache.machines.retain(|id, (_, rev)| keep(id, *rev));
         self.cache.versions.retain(|n, (_, rev)| loading.versions.contains(n) || *rev > first);
         self.cache.presences.retain(|n, rev| loading.presences.contains(n) || *rev > first);
+        self.cache.drains.retain(|k, (_, rev)| loading.drains.contains(k) || *rev > first);
         if !loading.leader && self.cache.leader.as_ref().is_some_and(|(_, rev)| *rev <= first) {
             self.cache.leader = None;
         }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -14,6 +14,7 @@
 use troutspindle::clock::Wall;
 use troutspindle::cloud::CloudCall;
 use troutspindle::constants::NO_CAPACITY;
+use troutspindle::drains::{self, DrainRecord};
 use troutspindle::foreman::Direct;
 use troutspindle::http::{CallError, Method, Request, Response};
 use troutspindle::ids::{Attempt, JobId, LeaseId, MachineId, NodeName, Revision, TaskId, Token};
@@ -28,6 +29,7 @@
     Shape, TaskState, Urgency, Write,
 };
 use troutspindle_estimates::Bucket;
+use troutspindle_protocol::ops::DrainKind;
 
 const LEASE_MS: u64 = 14_000;
 const REPORT_MS: u64 = 2000;
@@ -1919,3 +1921,107 @@
         World::day(seed, &faults);
     }
 }
+
+/// An operator's order, as any controller would write it, or its end.
+fn order(world: &mut World, kind: DrainKind, name: &str, by_ms: Option<u64>, on: bool) {
+    let key = drains::key(kind, name);
+    let rev = world.store.keys.get(&key).map_or(Revision(0), |(_, rev, _)| Revision(*rev));
+    let at_ms = world.wall().ms(world.now());
+    let (author, reason) = ("an operator".into(), "new floor".into());
+    let by_ms = by_ms.map(|ms| at_ms + ms);
+    let record = DrainRecord { kind, name: name.into(), by_ms, at_ms, author, reason };
+    let put =
+        Write::Put { key: key.clone(), data: troutspindle::records::data(&record), hold: None };
+    let write = if on { put } else { Write::Delete { key: key.clone() } };
+    let txn = wire::Txn { guards: vec![wire::Guard { key, rev }], writes: vec![write] };
+    assert!(matches!(world.commit(txn), StateReply::Committed(_)));
+}
+
+/// Tasks that hold room in a zone.
+fn tasks_in(world: &World, zone: usize) -> usize {
+    let here = world.workers.values().filter(|w| w.zone == zone && !w.gone);
+    let tasks = here.flat_map(|w| w.tasks.values());
+    tasks.filter(|running| running.state != TaskState::Exited).count()
+}
+
+/// Replicas leave a zone one at a time, arrays end there or by the time that was set, nothing new starts
+/// there, and when the drain is over the zone is used again; whoever leads meanwhile.
+#[test]
+fn a_drained_zone_is_left_without_a_service_going_down() {
+    for seed in 700..706 {
+        let mut world = World::new(seed);
+        for n in 0..3 {
+            world.submit_at(3000, n, true, None);
+            world.jobs.get_mut(&n).unwrap().spec.spread = false;
+        }
+        for n in 3..30 {
+            world.submit_at(n * 4000, n, false, None);
+        }
+        world.run(50_000);
+        order(&mut world, DrainKind::Zone, "a", Some(40_000), true);
+        if seed % 2 == 0 {
+            let leader = world.leader();
+            world.at(53_000, Due::Fault(Fault::Crash(leader)));
+        }
+        let mut until = 50_000;
+        while tasks_in(&world, 0) > 0 {
+            until += 200;
+            assert!(until <= 100_000, "seed {seed}: {}", tasks_in(&world, 0));
+            world.run(until);
+            for service in 0..3 {
+                assert!(world.running(service) >= 3, "seed {seed}, {until}: service {service}");
+            }
+        }
+        world.run(110_000);
+        assert_eq!(tasks_in(&world, 0), 0, "seed {seed}");
+        assert!(tasks_in(&world, 1) >= 12, "seed {seed}");
+        order(&mut world, DrainKind::Zone, "a", None, false);
+        // With zone b to be left, all goes back to a.
+        order(&mut world, DrainKind::Zone, "b", None, true);
+        world.run(240_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        assert_eq!(tasks_in(&world, 1), 0, "seed {seed}");
+        for (number, job) in &world.jobs {
+            let service = job.spec.shape == Shape::Service;
+            assert!(
+                job.told_done || service && world.running(*number) == 4,
+                "seed {seed}: {number}"
+            );
+        }
+    }
+}
+
+/// A service that is spread over two zones can't leave one of them: it runs on as it is, and what
+/// remains is told. While the other zone is cut off nothing moves at all.
+#[test]
+fn a_drain_that_cannot_be_carried_out_stops_nothing_and_says_so() {
+    for (seed, cut) in [(710, false), (711, true)] {
+        let mut world = World::new(seed);
+        world.submit_at(3000, 0, true, None);
+        world.submit_at(3000, 1, true, None);
+        world.jobs.get_mut(&1).unwrap().spec.spread = false;
+        world.run(40_000);
+        // The leader stays on the side of the zone that is to be left.
+        if cut {
+            world.fault(Fault::Island(true));
+        }
+        order(&mut world, DrainKind::Zone, "a", Some(20_000), true);
+        world.run(52_000);
+        let spread = JobId::new("wk-0");
+        let here = world.workers.values().filter(|w| w.zone == 0 && !w.gone);
+        let stayed = here.flat_map(|w| w.tasks.keys()).filter(|task| task.job == spread).count();
+        assert_eq!((stayed, world.running(0)), (2, 4), "seed {seed}");
+        if !cut {
+            let node = world.nodes[world.leader()].as_ref().unwrap();
+            let told = node.foreman.as_ref().unwrap().drains(&node.state.cache, world.now());
+            assert_eq!((told.drains[0].left, told.drains[0].stuck), (Some(2), Some(2)));
+            assert_eq!(world.running(1), 4);
+        }
+        if cut {
+            world.fault(Fault::Island(false));
+        }
+        world.run(110_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        assert_eq!((world.running(0), world.running(1)), (4, 4), "seed {seed}");
+    }
+}
