Controllers can be drained: leadership and users move before one is ended

Change: a drained controller answers /up with 503, drops its lease and stands aside while another serves; the last one goes on. Result: a test drains all three leaders in turn, no replica of two services is down at any 200 ms, all jobs end.

--- a/crates/protocol/src/ops.rs
+++ b/crates/protocol/src/ops.rs
@@ -50,6 +50,8 @@
 pub enum DrainKind {
     Zone,
     Machine,
+    /// It hands leadership and its users over to others, as long as there are any.
+    Controller,
 }
 
 /// Nothing new is to start there, and what runs is to leave.
--- a/crates/spindlectl/src/cli.rs
+++ b/crates/spindlectl/src/cli.rs
@@ -32,7 +32,8 @@
     /// Jobs of a running cluster.
     #[command(subcommand)]
     Jobs(Jobs),
-    /// Starts nothing new in a zone or on a machine and has what runs there leave, until `undrain`.
+    /// Starts nothing new in a zone or on a machine and has what runs there leave, until `undrain`; a
+    /// controller hands leadership and users over.
     Drain {
         #[command(flatten)]
         what: What,
@@ -48,7 +49,7 @@
         #[command(flatten)]
         from: Controllers,
     },
-    /// Ends a drain: the zone or machine is used again.
+    /// Ends a drain: what was drained is used again.
     Undrain {
         #[command(flatten)]
         what: What,
@@ -74,7 +75,7 @@
 struct What {
     #[arg(value_enum)]
     kind: Kind,
-    /// The zone or machine, as the controllers name it.
+    /// The zone, machine or controller, as the settings name it.
     name: String,
 }
 
@@ -82,6 +83,7 @@
 enum Kind {
     Zone,
     Machine,
+    Controller,
 }
 
 impl From<Kind> for DrainKind {
@@ -89,6 +91,7 @@
         match kind {
             Kind::Zone => DrainKind::Zone,
             Kind::Machine => DrainKind::Machine,
+            Kind::Controller => DrainKind::Controller,
         }
     }
 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -79,6 +79,8 @@
 /// A leader that has had no report for this long, or half a report interval, gives up if workers
 /// report elsewhere; a new one waits as well until those who asked its predecessor give that up.
 pub const RESIGN_AFTER: Duration = Duration::from_millis(2000);
+/// A drained controller does not campaign for this long after it last saw another that serves.
+pub const STAND_ASIDE: Duration = Duration::from_secs(2);
 /// A leader that gave up for want of workers does not campaign for this long.
 pub const RESIGN_REST: Duration = Duration::from_secs(15);
 
--- a/src/drains.rs
+++ b/src/drains.rs
@@ -48,6 +48,7 @@
         let holds = |drain: &&DrainRecord| match drain.kind {
             DrainKind::Zone => drain.name == zone,
             DrainKind::Machine => drain.name == machine,
+            DrainKind::Controller => false,
         };
         self.records.iter().filter(holds).min_by_key(|drain| drain.by_ms.unwrap_or(u64::MAX))
     }
--- a/src/election.rs
+++ b/src/election.rs
@@ -132,6 +132,13 @@
         Some(StateCall::DropLease(lease))
     }
 
+    /// Lets others campaign first for a while: this controller is to be ended.
+    pub fn stand_aside(&mut self, now: Instant) {
+        if matches!(self.role, Role::Follower) {
+            self.campaign_at = self.campaign_at.max(now + STAND_ASIDE);
+        }
+    }
+
     pub fn poll(&mut self, cache: &Cache, state_lost: bool, now: Instant) -> Vec<StateCall> {
         let mut calls = Vec::new();
         match &self.role {
--- a/src/foreman/drains.rs
+++ b/src/foreman/drains.rs
@@ -214,6 +214,7 @@
                 let here = match drain.kind {
                     DrainKind::Zone => self.zone_name(machine.zone) == drain.name,
                     DrainKind::Machine => machine.id.as_str() == drain.name,
+                    DrainKind::Controller => false,
                 };
                 let tasks = machine.entries.iter().filter(|(_, e)| e.state != TaskState::Exited);
                 for ((task, _), entry) in tasks.filter(|_| here) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -266,6 +266,12 @@
         }
         let known = match order.kind {
             ops::DrainKind::Zone => self.settings.platform.params.zones.contains(&order.name),
+            ops::DrainKind::Controller => {
+                let platform = &self.settings.platform;
+                let mut names = platform.others.iter().map(|peer| &peer.host_name);
+                platform.host_name.as_str() == order.name
+                    || names.any(|name| name.as_str() == order.name)
+            }
             ops::DrainKind::Machine => {
                 self.state.cache.machines.contains_key(&MachineId::new(&order.name))
             }
@@ -335,7 +341,23 @@
     fn is_up(&self, now: Instant) -> bool {
         let fresh = |peer: &PeerView| now.saturating_duration_since(peer.heard) < STATE_LOST;
         let others_fine = self.peers.values().any(|peer| fresh(peer) && !peer.state_lost);
-        self.state.cache.loaded && !(self.state.lost(now) && others_fine)
+        self.state.cache.loaded && !(self.state.lost(now) && others_fine) && !self.stands_aside(now)
+    }
+
+    /// An operator has this controller drained, and another is there that is not and has the store: it
+    /// leads, and users go to it. The last one that could serve goes on, drained or not.
+    fn stands_aside(&self, now: Instant) -> bool {
+        let drains = &self.state.cache.drains;
+        let drained = |name: &NodeName| {
+            drains.contains_key(&drains::key(ops::DrainKind::Controller, name.as_str()))
+        };
+        let fresh = |view: &PeerView| now.saturating_duration_since(view.heard) < STATE_LOST;
+        let serves = |(name, view): (&NodeName, &PeerView)| {
+            fresh(view) && !view.state_lost && !drained(name)
+        };
+        !drains.is_empty()
+            && drained(&self.settings.platform.host_name)
+            && self.peers.iter().any(serves)
     }
 
     fn on_hello(&mut self, body: &[u8], now: Instant) -> Response {
@@ -737,6 +759,13 @@
             self.broadcast(&MeshMessage::Running { token, counts });
         }
         self.resign_if_cut_off(now);
+        if self.stands_aside(now) {
+            if self.foreman.is_some() {
+                tracing::info!("drained, hands leadership over");
+                self.step_down(now);
+            }
+            self.election.stand_aside(now);
+        }
     }
 
     /// A leader that no worker reaches hands over, if workers reach another controller. Silence
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -2025,3 +2025,41 @@
         assert_eq!((world.running(0), world.running(1)), (4, 4), "seed {seed}");
     }
 }
+
+/// A drained leader hands over in a moment and nobody loses work; the next one that is drained does the
+/// same, and the last one left leads on, drained or not.
+#[test]
+fn drained_controllers_hand_over_until_one_is_left() {
+    for seed in 720..724 {
+        let mut world = World::new(seed);
+        for n in 0..2 {
+            world.submit_at(3000, n, true, None);
+        }
+        for n in 2..24 {
+            world.submit_at(n * 3000, n, false, None);
+        }
+        let mut until = 30_000;
+        world.run(until);
+        let mut led = Vec::new();
+        for _ in 0..NODES {
+            let leader = world.leader();
+            led.push(leader);
+            order(&mut world, DrainKind::Controller, &format!("n-{leader}"), None, true);
+            for _ in 0..50 {
+                until += 200;
+                world.run(until);
+                assert_eq!((world.running(0), world.running(1)), (4, 4), "seed {seed}, {until}");
+            }
+            let next = world.leader();
+            assert_eq!(next == leader, led.len() == NODES, "seed {seed}: {led:?}, {next}");
+        }
+        // In the end a drained one that crashes is no loss, and undrained ones lead again.
+        for node in 0..NODES {
+            order(&mut world, DrainKind::Controller, &format!("n-{node}"), None, false);
+        }
+        world.at(until + 1000, Due::Fault(Fault::Crash(led[NODES - 1])));
+        world.run(150_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:#?}", world.broken);
+        assert!(world.jobs.values().skip(2).all(|job| job.told_done), "seed {seed}");
+    }
+}
