Elastic classes: arrays that grow into room that stays free and make way to their least width

Change: crates/elastic shares room max-min with hysteresis (a minimum over 5 s, half steps, rests that double); the foreman caps widths, rents only for the least width and spares it; named in the operators' settings, none in run.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -107,6 +107,8 @@
 /// Count. Orders in one answer to a worker, which keeps it far below 64 KiB.
 pub const ORDERS_MAX: usize = 300;
 
+/// Seconds of repeated work by which a task of an elastic job is spared that is no wider than its least.
+pub const LEAST_WIDTH_S: f64 = 600.0;
 /// Pause between two rounds of moves off what is drained.
 pub const DRAIN_EVERY: Duration = Duration::from_secs(1);
 /// Seconds. A task that saves is told so much earlier than its time is up: for the command and its report.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -26,10 +26,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use troutspindle_elastic::Widths;
 
 mod asks;
 mod chains;
 pub mod drains;
+mod elastic;
 mod learning;
 mod lost;
 mod moves;
@@ -198,6 +200,8 @@
     tidy: Tidy,
     learning: Learning,
     draining: Draining,
+    /// What is remembered of elastic jobs.
+    widths: Widths<JobId>,
     pub grants: Grants,
     pub direct: Vec<(MachineId, SocketAddr, Direct)>,
     pub last_report: Instant,
@@ -256,6 +260,7 @@
             tidy: Tidy::new(now),
             learning: Learning::new(cache),
             draining: Draining::default(),
+            widths: Widths::default(),
             direct: Vec::new(),
             last_report: now,
             reports: 0,
@@ -1474,6 +1479,9 @@
         let mut asks: Vec<Ask> = Vec::new();
         let mut sources: Vec<Source> = Vec::new();
         let mut wake: Option<Instant> = None;
+        let growth = self.growth(&live, now);
+        // Elastic jobs beyond their least width come after all that is served as usual.
+        let mut wider: Vec<(Source, Ask)> = Vec::new();
         self.waits.clear();
         for Claim { age: at, beyond, .. } in order {
             let (id, job) = live[at];
@@ -1496,12 +1504,22 @@
                     self.plan_wanted = true;
                 }
             }
+            let grows = self.limit_width(id, job, &growth, &mut most);
             if let Some(mut ask) = self.ask_for(id, job, most, &unsure, &sizes, &mut wake, now) {
                 ask.left_s = self.time_left(id, job, beyond, now);
+                if grows {
+                    ask.rents = Rents::Nothing;
+                    wider.push((Source { job: id.clone(), left: ask.count }, ask));
+                    continue;
+                }
                 sources.push(Source { job: id.clone(), left: ask.count });
                 asks.push(ask);
             }
         }
+        for (source, ask) in wider {
+            sources.push(source);
+            asks.push(ask);
+        }
         let real_asks = asks.len();
         self.coming_asks(&mut asks, coming, cache, &sizes);
         let mut silent = self.silent_zones(now);
@@ -2167,4 +2185,82 @@
         over(&mut bench, "wk-1");
         assert_eq!(estimated(&mut bench, "wk-2"), None);
     }
+
+    /// An elastic job starts at its least width, takes room that stayed free, makes way down to its least for
+    /// what is more urgent, and does not come back at once.
+    #[test]
+    fn an_elastic_job_grows_into_what_stays_free_and_makes_way_to_its_least() {
+        let mut bench = Bench::new();
+        let settings = Arc::make_mut(&mut bench.foreman.settings);
+        let class = jobs::plain_spec("wk-1", 1).class;
+        settings.operator.elastic =
+            vec![crate::settings::ElasticClass { class, least: 2, most: 20 }];
+        let names = ["i-1", "i-2", "i-3", "i-4"];
+        let mut running: BTreeMap<&str, Vec<ReportedTask>> = BTreeMap::new();
+        // Each worker does at once what it is told.
+        let mut second = |bench: &mut Bench| {
+            bench.pass(Duration::from_secs(1));
+            for name in names {
+                let here = running.entry(name).or_default();
+                for order in bench.report(name, here.clone()) {
+                    match order {
+                        Order::Start { task, attempt } => here.push(ReportedTask {
+                            task,
+                            attempt,
+                            state: TaskState::Running,
+                            why: None,
+                            saved: None,
+                        }),
+                        Order::Stop { task, attempt, .. } => {
+                            let ended =
+                                here.iter_mut().find(|t| (&t.task, t.attempt) == (&task, attempt));
+                            if let Some(ended) = ended {
+                                ended.state = TaskState::Exited;
+                                ended.why = Some("halted".into());
+                            }
+                        }
+                        Order::Forget { task, attempt } => {
+                            here.retain(|t| (&t.task, t.attempt) != (&task, attempt));
+                        }
+                    }
+                }
+                bench.report(name, here.clone());
+            }
+        };
+        let width = |bench: &Bench, id: &JobId| bench.foreman.work[id].placed.len();
+        second(&mut bench);
+        let wide = bench.job("wk-1", Shape::Array, 40);
+        for _ in 0..3 {
+            second(&mut bench);
+        }
+        assert_eq!(width(&bench, &wide), 2);
+        let mut before = 2;
+        for _ in 0..20 {
+            second(&mut bench);
+            assert!(width(&bench, &wide) >= before, "it never turns back by itself");
+            before = width(&bench, &wide);
+        }
+        // All but what is kept warm and what a half of a half leaves.
+        assert!((8..=16).contains(&before), "{before}");
+        let urgent = bench.job("wk-2", Shape::Service, 14);
+        let Some(job) = bench.state.cache.jobs.all.get_mut(&urgent) else { panic!() };
+        let JobBody::Live(live) = &mut job.body else { panic!() };
+        Arc::make_mut(&mut live.spec).urgency = Urgency::Production;
+        for _ in 0..4 {
+            second(&mut bench);
+        }
+        assert_eq!((width(&bench, &urgent), width(&bench, &wide)), (14, 2));
+        // The urgent one is gone, and the elastic one rests before it grows again.
+        bench.state.cache.jobs.all.remove(&urgent);
+        bench.foreman.work.remove(&urgent);
+        bench.foreman.stop_all(&urgent);
+        for _ in 0..8 {
+            second(&mut bench);
+            assert_eq!(width(&bench, &wide), 2);
+        }
+        for _ in 0..25 {
+            second(&mut bench);
+        }
+        assert!(width(&bench, &wide) >= 8, "{}", width(&bench, &wide));
+    }
 }
--- /dev/null
+++ b/src/foreman/elastic.rs
@@ -0,0 +1,83 @@
+//! Elastic jobs: how many more tasks of them run than they are served anyway.
+
+use super::*;
+use troutspindle_elastic::Grower;
+
+impl Foreman {
+    fn since_began(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    /// By how many tasks each elastic job may grow in this pass.
+    pub(super) fn growth(
+        &mut self,
+        live: &[(&JobId, &LiveJob)],
+        now: Instant,
+    ) -> BTreeMap<JobId, u64> {
+        if self.settings.operator.elastic.is_empty() {
+            return BTreeMap::new();
+        }
+        let quiet = self.settings.report_every() * 2;
+        let usable = |m: &&Machine| {
+            m.life == Life::Up
+                && m.confirmed
+                && m.recorded
+                && m.recall_at.is_none()
+                && !m.faulty
+                && !self.reserved.contains(&m.id)
+                && m.silent_for(now) < quiet
+                && !self.is_drained(m)
+        };
+        let machines = self.machines.values().filter(usable);
+        let free = machines.map(|m| self.size(m.flavor).minus(&m.used()).cpu).sum();
+        let grower = |(id, job): &(&JobId, &LiveJob)| {
+            let elastic = self.settings.elastic(&job.spec.class)?;
+            let work = self.work.get(*id).filter(|_| job.spec.shape == Shape::Array)?;
+            let width = work.placed.len() as u64;
+            let (most, waiting) = (elastic.most, work.waiting(job));
+            let grower = Grower { need: job.need.cpu, width, most, waiting };
+            (width >= elastic.least).then(|| ((*id).clone(), grower))
+        };
+        let growers: Vec<(JobId, Grower)> = live.iter().filter_map(grower).collect();
+        let now = self.since_began(now);
+        self.widths.grow(&growers, free, now)
+    }
+
+    /// Bounds how many tasks of an elastic job may start now; true if they are beyond what it is served
+    /// anyway.
+    pub(super) fn limit_width(
+        &self,
+        id: &JobId,
+        job: &LiveJob,
+        growth: &BTreeMap<JobId, u64>,
+        most: &mut u64,
+    ) -> bool {
+        let Some(elastic) = self.settings.elastic(&job.spec.class) else { return false };
+        if job.spec.shape != Shape::Array {
+            return false;
+        }
+        let width = self.work.get(id).map_or(0, |work| work.placed.len() as u64);
+        if width < elastic.least {
+            *most = (*most).min(elastic.least - width);
+            return false;
+        }
+        *most = (*most).min(growth.get(id).copied().unwrap_or(0));
+        true
+    }
+
+    /// Seconds that a task is spared beside others because its job would be narrower than its least.
+    pub(super) fn least_width_s(&self, id: &JobId, job: &LiveJob) -> f64 {
+        let Some(elastic) = self.settings.elastic(&job.spec.class) else { return 0.0 };
+        let width = self.work.get(id).map_or(0, |work| work.placed.len() as u64);
+        if width <= elastic.least { LEAST_WIDTH_S } else { 0.0 }
+    }
+
+    /// Tasks made way for more urgent work: their jobs rest before they grow again.
+    pub(super) fn made_way(&mut self, jobs: &[JobId], now: Instant) {
+        if self.settings.operator.elastic.is_empty() {
+            return;
+        }
+        let now = self.since_began(now);
+        jobs.iter().for_each(|job| self.widths.made_way(job, now));
+    }
+}
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -111,7 +111,8 @@
                         && matches!(entry.state, TaskState::Running | TaskState::Fetching)
                 })
                 .filter_map(|(key, entry)| {
-                    let spec = &cache.jobs.get(&key.0.job).and_then(Job::live)?.spec;
+                    let live = cache.jobs.get(&key.0.job).and_then(Job::live)?;
+                    let spec = &live.spec;
                     if spec.shape != Shape::Array {
                         return None;
                     }
@@ -128,12 +129,14 @@
                     // again and again until they end late.
                     let before = self.work.get(&key.0.job).map_or(0, |work| work.made_way);
                     let weight = 1.0 + f64::from(before) / spec.tasks as f64;
+                    let least = self.least_width_s(&key.0.job, live);
                     Some(Victim {
                         key: key.clone(),
                         urgency: entry.urgency,
                         need: entry.need,
-                        saved_loss: weight * if saves { spec.save_s } else { ran },
-                        loss: weight * if saves { ran.min(spec.checkpoint_s / 2.0) } else { ran },
+                        saved_loss: least + weight * if saves { spec.save_s } else { ran },
+                        loss: least
+                            + weight * if saves { ran.min(spec.checkpoint_s / 2.0) } else { ran },
                         save_s: if saves { spec.save_s } else { 0.0 },
                     })
                 })
@@ -219,6 +222,12 @@
         if made < count && !warm {
             stoppable.hopeless.push(ask.clone());
         }
+        let jobs: Vec<JobId> = chosen
+            .iter()
+            .flat_map(|(_, stopped)| stopped)
+            .map(|(key, _)| key.0.job.clone())
+            .collect();
+        self.made_way(&jobs, now);
         for (id, stopped) in chosen {
             let Some(machine) = self.machines.get_mut(&id) else { continue };
             for (key, grace_s) in stopped {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -186,6 +186,19 @@
     /// Opens the operators' paths to whoever shows it; empty: they are shut.
     pub operator_key: Secret,
     pub estimates: Estimates,
+    /// Classes whose jobs run as wide as room allows.
+    pub elastic: Vec<ElasticClass>,
+}
+
+/// How wide the jobs of a class run: arrays only.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ElasticClass {
+    pub class: String,
+    /// Tasks for which a job is served as any is: machines are rented for them, and they make way last.
+    pub least: u64,
+    /// Tasks that run at once at the most, in room that has stayed free.
+    pub most: u64,
 }
 
 /// What is shown to nobody: not in a log, nor by `check`.
@@ -236,6 +249,7 @@
             log_format: LogFormat::Text,
             operator_key: Secret::default(),
             estimates: Estimates::default(),
+            elastic: Vec::new(),
         }
     }
 }
@@ -315,6 +329,14 @@
         if key > 0 {
             range("operator_key (its length in bytes)", key as f64, KEY_LEAST, KEY_MOST);
         }
+        for elastic in &o.elastic {
+            let name = &elastic.class;
+            range(&format!("elastic {name} least"), elastic.least as f64, 1.0, LEGS_MAX as f64);
+            let least = elastic.least as f64;
+            range(&format!("elastic {name} most"), elastic.most as f64, least, LEGS_MAX as f64);
+            let same = o.elastic.iter().filter(|other| other.class == *name).count();
+            range(&format!("elastic {name} (how often it is named)"), same as f64, 1.0, 1.0);
+        }
         for team in &p.teams {
             range(&format!("team {} cpus", team.name), team.cpus, 0.0, 1e9);
             range(&format!("team {} cpus_max", team.name), team.cpus_max, 0.0, 1e9);
@@ -330,6 +352,11 @@
         faults
     }
 
+    /// How wide jobs of the class run, if they are elastic.
+    pub fn elastic(&self, class: &str) -> Option<&ElasticClass> {
+        self.operator.elastic.iter().find(|elastic| elastic.class == class)
+    }
+
     /// Whether any aim is set for the class.
     pub fn has_aim(&self, class: &str) -> bool {
         self.platform.params.objectives.iter().any(|o| o.class.as_deref() == Some(class))
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -63,9 +63,11 @@
     )
 }
 
-/// All that learned run times are used for: no rule may depend on what was learned.
-const LEARNING: &str =
-    "estimates: {learn: true, warn: true, due: true, ahead: true, make_way: true, drain: true}";
+/// All that learned run times are used for, and arrays that grow and make way: no rule may depend on either.
+const LEARNING: &str = "
+estimates: {learn: true, warn: true, due: true, ahead: true, make_way: true, drain: true}
+elastic: [{class: c, least: 4, most: 7}]
+";
 
 /// Production's types as they were, for what the new version writes before all controllers have it.
 /// A copy on purpose: it must not change with the code.
