--- a/crates/elastic/src/lib.rs
+++ b/crates/elastic/src/lib.rs
@@ -223,7 +223,7 @@
         let mut turns = [0; 2];
         let mut shrinks = 0;
         let all = 64u64;
-        for step in 0..950u64 {
+        for step in 0..2500u64 {
             let now = s(step as f64 * 0.2);
             // Thirty seconds at first, then six times for six seconds with seven between.
             let pulse = (400..790).contains(&step) && (step - 400) % 65 < 30;
