--- a/src/constants.rs
+++ b/src/constants.rs
@@ -115,10 +115,11 @@
 pub const DRAIN_MARGIN_S: f64 = 5.0;
 /// Bytes. Texts in an operator's order.
 pub const NOTE_MAX: usize = 200;
-/// Count. Estimates found anew before a planning pass, some microseconds each.
-pub const ESTIMATES_A_PASS: usize = 200;
+/// Count. Estimates found anew before a planning pass, some ten microseconds each: eight passes a second take
+/// a fortieth of a small controller's allowance.
+pub const ESTIMATES_A_PASS: usize = 30;
 /// How old an estimate may be that decisions use.
-pub const ESTIMATE_FRESH: Duration = Duration::from_secs(2);
+pub const ESTIMATE_FRESH: Duration = Duration::from_secs(5);
 /// Seconds. A task that ran before and is done within this time only gave its result again.
 pub const RESULT_AGAIN_S: f64 = 1.0;
 /// Seconds. What will end by itself this soon is not stopped for its room: stopping and reporting takes as
