--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -1266,6 +1266,17 @@
         id
     }
 
+    /// Whether work may be placed on a machine now, and will stay there.
+    fn takes_work(&self, machine: &Machine, now: Instant) -> bool {
+        machine.life == Life::Up
+            && machine.confirmed
+            && machine.recorded
+            && machine.recall_at.is_none()
+            && !machine.faulty
+            && machine.silent_for(now) < self.settings.report_every() * 2
+            && !self.is_drained(machine)
+    }
+
     /// What each team's tasks may be using.
     fn team_use(&mut self, sizes: &[Amount]) -> Vec<Amount> {
         let threshold = self.settings.operator.heavy_threshold;
--- a/src/foreman/elastic.rs
+++ b/src/foreman/elastic.rs
@@ -17,17 +17,7 @@
         if self.settings.operator.elastic.is_empty() {
             return BTreeMap::new();
         }
-        let quiet = self.settings.report_every() * 2;
-        let usable = |m: &&Machine| {
-            m.life == Life::Up
-                && m.confirmed
-                && m.recorded
-                && m.recall_at.is_none()
-                && !m.faulty
-                && !self.reserved.contains(&m.id)
-                && m.silent_for(now) < quiet
-                && !self.is_drained(m)
-        };
+        let usable = |m: &&Machine| self.takes_work(m, now) && !self.reserved.contains(&m.id);
         let machines = self.machines.values().filter(usable);
         let free = machines.map(|m| self.size(m.flavor).minus(&m.used()).cpu).sum();
         let grower = |(id, job): &(&JobId, &LiveJob)| {
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -89,19 +89,9 @@
     }
 
     fn sources(&self, cache: &Cache, now: Instant) -> Vec<Source> {
-        let quiet = self.settings.report_every() * 2;
-        let usable = |machine: &&Machine| {
-            machine.life == Life::Up
-                && machine.confirmed
-                && machine.recorded
-                && machine.recall_at.is_none()
-                && !self.is_drained(machine)
-                && !machine.faulty
-                && machine.silent_for(now) < quiet
-        };
         let knows = self.settings.operator.estimates.make_way;
         let mut sources = Vec::new();
-        for machine in self.machines.values().filter(usable) {
+        for machine in self.machines.values().filter(|m| self.takes_work(m, now)) {
             let mut victims: Vec<Victim> = machine
                 .entries
                 .iter()
