--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -24,6 +24,15 @@
     }
 }
 
+/// What `run` starts with: a fault in it would keep every controller from starting.
+#[test]
+fn the_operators_file_that_run_uses_is_sound() {
+    let service = include_str!("../deploy/service.toml");
+    assert!(service.contains("--operator deploy/operator.yaml --config"));
+    let settings = Settings::parse(PLATFORM, Some(include_str!("../deploy/operator.yaml")));
+    assert!(settings.unwrap().operator.estimates.learn);
+}
+
 #[test]
 fn unknown_fields_of_the_platform_are_ignored_and_faults_of_the_operators_named() {
     assert!(Settings::parse(PLATFORM, None).is_ok());
