Reread: one piece each for order of times, places, operators' keys, a job's attempts

Need: the same logic stood twice: a total order of f64 (now ordered-float), tasks on places (generator and replay), the tenth of a job that has ended, the operators' key (four paths), the range of a job's attempts, whether a job may use a machine, whether a machine is drained. A check of decoded errors could never fail; an hour had three spellings and an unused constant. Change: each is one function or library; no decision changes.

--- a/crates/estimates/src/history.rs
+++ b/crates/estimates/src/history.rs
@@ -79,6 +79,11 @@
     weekday: u32,
 }
 
+/// The hour since the epoch by which runs are dated, of so many seconds.
+pub fn hour_of(s: u64) -> u32 {
+    u32::try_from(s / HOUR_S).unwrap_or(0)
+}
+
 /// Days since the epoch, of which the first was a Thursday.
 fn weekday(hour: u32) -> u32 {
     (hour / 24 + 4) % 7
--- a/crates/estimates/src/keeper.rs
+++ b/crates/estimates/src/keeper.rs
@@ -8,8 +8,7 @@
 
 use crate::constants::*;
 use crate::history::{History, Run};
-use crate::learner::AllErrors;
-use crate::value::{Bucket, Stamp, Unreadable, bucket_of};
+use crate::value::{Bucket, Errors, Stamp, Unreadable, bucket_of};
 use std::borrow::Cow;
 
 /// A write that is to be done, guarded by the revision of its key.
@@ -60,7 +59,7 @@
 #[derive(Debug)]
 pub struct Keeper {
     slots: Vec<Slot>,
-    all: AllErrors,
+    all: [Errors; 2],
     /// The 10% and 90% points of these, reckoned when they change.
     points: [(f64, f64); 2],
     count: u64,
@@ -70,7 +69,7 @@
 impl Default for Keeper {
     fn default() -> Keeper {
         let slots = std::iter::repeat_with(Slot::default).take(BUCKETS.into()).collect();
-        let all = AllErrors::default();
+        let all = <[Errors; 2]>::default();
         let points = points(&all);
         Keeper { slots, all, points, count: 0, written_ms: None }
     }
@@ -81,7 +80,7 @@
         &mut self.slots[usize::from(bucket_of(key))]
     }
 
-    pub(crate) fn delta(&mut self, key: u64) -> &mut Bucket {
+    fn delta(&mut self, key: u64) -> &mut Bucket {
         &mut self.slot(key).delta
     }
 
@@ -89,7 +88,9 @@
         self.delta(key).add(key, run);
     }
 
-    pub(crate) fn add_to_all(&mut self, kind: usize, z: f64) {
+    /// An estimate was off by so many of its standard deviations; kinds as in [`Keeper::points`].
+    pub(crate) fn add_error(&mut self, key: u64, kind: usize, z: f64) {
+        self.delta(key).errors[kind].add(z);
         self.all[kind].add(z);
         self.points = points(&self.all);
     }
@@ -140,7 +141,7 @@
                 slot.delta.merge(&flight.adds);
             }
         }
-        self.all = AllErrors::default();
+        self.all = <[Errors; 2]>::default();
         for part in self.slots.iter().flat_map(|slot| {
             [Some(&slot.kept), slot.flight.as_ref().map(|f| &f.adds), Some(&slot.delta)]
         }) {
@@ -205,7 +206,7 @@
     }
 }
 
-fn points(all: &AllErrors) -> [(f64, f64); 2] {
+fn points(all: &[Errors; 2]) -> [(f64, f64); 2] {
     all.each_ref().map(|errors| (errors.point(0.1), errors.point(0.9)))
 }
 
--- a/crates/estimates/src/learner.rs
+++ b/crates/estimates/src/learner.rs
@@ -5,7 +5,7 @@
 use crate::history::{Believed, Run};
 use crate::keeper::Keeper;
 use crate::shape;
-use crate::value::{Errors, hash};
+use crate::value::hash;
 
 /// What is known of a job before it runs.
 #[derive(Debug, Clone, Copy)]
@@ -185,16 +185,6 @@
     (centre.ln + own / 2.0, (centre.sd * centre.sd + chance).sqrt())
 }
 
-impl Keeper {
-    fn add_error(&mut self, key: u64, kind: usize, z: f64) {
-        self.delta(key).errors[kind].add(z);
-        self.add_to_all(kind, z);
-    }
-}
-
-/// Kept for reading: all buckets' errors together.
-pub(crate) type AllErrors = [Errors; 2];
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/estimates/src/lib.rs
+++ b/crates/estimates/src/lib.rs
@@ -17,7 +17,7 @@
 mod value;
 
 pub use current::Current;
-pub use history::{Believed, History, Run};
+pub use history::{Believed, History, Run, hour_of};
 pub use keeper::{Keeper, Told, Write};
 pub use learner::{Estimate, Grade, Learner, Level, Profile};
 pub use play::{Rest, remaining};
--- a/crates/estimates/src/play.rs
+++ b/crates/estimates/src/play.rs
@@ -3,26 +3,12 @@
 use crate::constants::*;
 use crate::current::Centre;
 use crate::shape;
+use ordered_float::OrderedFloat;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// A time that can be put in order.
-#[derive(PartialEq)]
-struct At(f64);
-impl Eq for At {}
-impl PartialOrd for At {
-    fn partial_cmp(&self, other: &At) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for At {
-    fn cmp(&self, other: &At) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
 /// When a job may be done: so many ways in which it may go, the shortest first.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rest(Vec<f64>);
@@ -60,13 +46,13 @@
     let within = centre.within;
     let run_s = |share: f64| (centre.ln + within * shape::quick_point(share)).exp();
     // What runs goes on for as long as those do that ran so long already.
-    let mut ends: BinaryHeap<Reverse<At>> = running
+    let mut ends: BinaryHeap<Reverse<OrderedFloat<f64>>> = running
         .iter()
         .map(|ran| {
             let ran = ran.max(SHORTEST_S);
             let longer = shape::above((ran.ln() - centre.ln) / within);
             let rest = (run_s(1.0 - longer * random.random::<f64>()) - ran).max(0.0);
-            Reverse(At(rest))
+            Reverse(OrderedFloat(rest))
         })
         .collect();
     let width = usize::try_from(width).unwrap_or(usize::MAX).max(1);
@@ -75,15 +61,15 @@
     let all = running.len().saturating_add(usize::try_from(waiting).unwrap_or(usize::MAX));
     let places = width.max(running.len()).min(all);
     let busy = (waiting - played) as f64 * centre.mean_s() / places.max(1) as f64;
-    let mut last: f64 = ends.iter().map(|Reverse(At(end))| *end).fold(0.0, f64::max);
+    let mut last: f64 = ends.iter().map(|Reverse(OrderedFloat(end))| *end).fold(0.0, f64::max);
     // Free places take tasks that wait now; no more of them than are played.
     let free = (places - ends.len()).min(usize::try_from(played).unwrap_or(usize::MAX));
-    ends.extend(std::iter::repeat_with(|| Reverse(At(0.0))).take(free));
+    ends.extend(std::iter::repeat_with(|| Reverse(OrderedFloat(0.0))).take(free));
     for _ in 0..played {
-        let Some(Reverse(At(free))) = ends.pop() else { break };
+        let Some(Reverse(OrderedFloat(free))) = ends.pop() else { break };
         let end = free + run_s(random.random());
         last = last.max(end);
-        ends.push(Reverse(At(end)));
+        ends.push(Reverse(OrderedFloat(end)));
     }
     busy + last
 }
--- a/crates/estimates/src/value.rs
+++ b/crates/estimates/src/value.rs
@@ -26,7 +26,7 @@
 }
 
 /// How far off estimates were, in their own standard deviations: how often in each bin.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Errors(Vec<u32>);
 
 impl Errors {
@@ -52,10 +52,6 @@
         }
     }
 
-    fn is_sane(&self) -> bool {
-        self.0.is_empty() || self.0.len() == ERROR_BINS
-    }
-
     /// The standard deviations below which a share of outcomes lies, by what came together with an
     /// assumption of normal errors.
     pub fn point(&self, share: f64) -> f64 {
@@ -191,9 +187,6 @@
             for (bin, n) in bins {
                 *errors.0.get_mut(usize::from(bin)).ok_or(Unreadable::Damaged)? = n;
             }
-            if !errors.is_sane() {
-                return Err(Unreadable::Damaged);
-            }
             errors.fade();
         }
         bucket.trim(HISTORIES_MAX);
--- a/crates/spindlectl/src/ask.rs
+++ b/crates/spindlectl/src/ask.rs
@@ -11,6 +11,8 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum AskError {
+    #[error("no controller was named; give each with --controller")]
+    Nobody,
     #[error("{0}: no controller listens there; give another with --controller")]
     Silent(SocketAddr),
     #[error(
@@ -79,7 +81,7 @@
     /// Gives an order to the first controller that takes it.
     async fn order<T: Serialize>(&self, path: &str, body: &T) -> Result<(), AskError> {
         let client = Client::start(self.controllers.len(), Vec::new());
-        let mut last = AskError::NoLeader(SocketAddr::from(([0, 0, 0, 0], 0)));
+        let mut last = AskError::Nobody;
         for &at in &self.controllers {
             match self.post(&client, at, path, body).await {
                 Ok(_) => return Ok(()),
@@ -128,7 +130,7 @@
 
 /// The first answer that is best, or any, or the last of what stood in the way.
 fn first<A>(answers: Vec<Result<A, AskError>>, best: impl Fn(&A) -> bool) -> Result<A, AskError> {
-    let mut kept = Err(AskError::NoLeader(SocketAddr::from(([0, 0, 0, 0], 0))));
+    let mut kept = Err(AskError::Nobody);
     for answer in answers {
         match answer {
             Ok(answer) if best(&answer) => return Ok(answer),
--- a/crates/spindlectl/src/generate.rs
+++ b/crates/spindlectl/src/generate.rs
@@ -3,7 +3,8 @@
 //! always wrong, cancelled jobs and killed tasks.
 
 use crate::constants::*;
-use crate::past::PastJob;
+use crate::past::{PastJob, on_places};
+use ordered_float::OrderedFloat;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal, Normal, NormalError, Poisson};
@@ -73,16 +74,10 @@
     }
 }
 
-/// Seconds that the tasks take on so many places, each taking the next as it becomes free.
+/// Seconds that the tasks take on so many places.
 fn span_s(run_s: impl Iterator<Item = f64>, width: usize) -> f64 {
-    let mut free = vec![0.0f64; width];
-    for run_s in run_s {
-        let next = free.iter_mut().min_by(|a, b| a.total_cmp(b));
-        if let Some(next) = next {
-            *next += run_s;
-        }
-    }
-    free.into_iter().fold(0.0, f64::max)
+    let ends = on_places(run_s.map(OrderedFloat), width).map(|(_, end)| end);
+    ends.max().unwrap_or_default().into_inner()
 }
 
 /// Jobs of so many classes over so many days, in order of submission. `told` is called with each
--- a/crates/spindlectl/src/past.rs
+++ b/crates/spindlectl/src/past.rs
@@ -1,7 +1,10 @@
 //! A recorded history of jobs: one JSON object to a line, in order of submission.
 
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::io::{BufRead, Write};
+use std::ops::Add;
 use std::path::Path;
 use troutspindle_estimates::Profile;
 
@@ -61,6 +64,22 @@
     Field(String, usize, &'static str, &'static str),
 }
 
+/// Begin and end of tasks of these lengths on so many places, each of which takes the next task as it
+/// becomes free.
+pub fn on_places<T: Ord + Copy + Default + Add<Output = T>>(
+    lengths: impl IntoIterator<Item = T>,
+    places: usize,
+) -> impl Iterator<Item = (T, T)> {
+    let mut free: BinaryHeap<Reverse<T>> =
+        std::iter::repeat_with(|| Reverse(T::default())).take(places).collect();
+    lengths.into_iter().map(move |length| {
+        let begin = free.pop().map(|Reverse(begin)| begin).unwrap_or_default();
+        let end = begin + length;
+        free.push(Reverse(end));
+        (begin, end)
+    })
+}
+
 /// What a line can't mean, by field.
 fn fault(job: &PastJob, last_s: f64) -> Option<(&'static str, &'static str)> {
     let time = |s: &f64| s.is_finite() && *s >= 0.0;
--- a/crates/spindlectl/src/replay.rs
+++ b/crates/spindlectl/src/replay.rs
@@ -1,12 +1,12 @@
 //! Plays a recorded history in order, never looking ahead: each estimate rests on what had ended before.
 
 use crate::constants::*;
-use crate::past::PastJob;
+use crate::past::{PastJob, on_places};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
-use troutspindle_estimates::{Current, Grade, Learner, remaining};
+use troutspindle_estimates::{Current, Grade, Learner, hour_of, remaining};
 
 /// How estimates of one grade did.
 #[derive(Debug, Clone, Default, Serialize)]
@@ -109,16 +109,13 @@
     let stopped: HashMap<usize, f64> = job.stopped.iter().copied().collect();
     let places = usize::try_from(job.width).unwrap_or(usize::MAX).min(job.run_s.len());
     let ms = |s: f64| (s * 1000.0) as u64;
-    let mut free: BinaryHeap<Reverse<u64>> = std::iter::repeat_n(Reverse(0), places).collect();
+    let s = |ms: u64| ms as f64 / 1000.0;
+    let before = |task: usize| ms(stopped.get(&task).copied().unwrap_or(0.0));
+    let lengths = job.run_s.iter().enumerate().map(|(task, run_s)| before(task) + ms(*run_s));
     let (mut begin_s, mut last_s, mut end_s) = (Vec::new(), Vec::new(), Vec::new());
-    for (task, run_s) in job.run_s.iter().enumerate() {
-        let Reverse(begin) = free.pop().unwrap_or(Reverse(0));
-        let last = begin + ms(stopped.get(&task).copied().unwrap_or(0.0));
-        let end = last + ms(*run_s);
-        free.push(Reverse(end));
-        let s = |ms: u64| ms as f64 / 1000.0;
+    for (task, (begin, end)) in on_places(lengths, places).enumerate() {
         begin_s.push(s(begin));
-        last_s.push(s(last));
+        last_s.push(s(begin + before(task)));
         end_s.push(s(end));
     }
     let mut order_s = end_s.clone();
@@ -132,6 +129,13 @@
 }
 
 impl Course {
+    /// When a tenth of the tasks, three at the least, have ended; none if nothing is left then.
+    fn early_s(&self) -> Option<f64> {
+        let tasks = self.order_s.len();
+        let early = EARLY_LEAST.max((tasks as f64 * EARLY_SHARE).ceil() as usize);
+        (early < tasks).then(|| self.order_s[early - 1])
+    }
+
     /// What is known at a time: run times seen, how long each running task has run, and how many wait.
     fn look(&self, job: &PastJob, at_s: f64) -> (Current, Vec<f64>, u64) {
         let (mut shown, mut running, mut waiting) = (Current::default(), Vec::new(), 0);
@@ -186,7 +190,7 @@
         if due == Some(now) {
             let Some(Reverse((_, what, n))) = events.pop() else { break };
             let job = &jobs[n];
-            let hour = (job.at_s / 3600.0) as u32;
+            let hour = hour_of(job.at_s as u64);
             match what {
                 What::Over => {
                     let Some(run) = going.remove(&n) else { continue };
@@ -212,7 +216,7 @@
             continue;
         }
         let job = &jobs[next];
-        let hour = (job.at_s / 3600.0) as u32;
+        let hour = hour_of(job.at_s as u64);
         figures.jobs += 1;
         told();
         let estimate = learner.estimate(&job.profile(), &Current::default(), hour);
@@ -242,9 +246,7 @@
             }
         }
         let course = course(job);
-        let tasks = job.run_s.len();
-        let early = EARLY_LEAST.max((tasks as f64 * EARLY_SHARE).ceil() as usize);
-        let early_s = (early < tasks).then(|| course.order_s[early - 1]);
+        let early_s = course.early_s();
         let due_s = job.due_s.unwrap_or(0.0);
         let steps = if due_s > 0.0 { LOOKS } else { 0 };
         let mut looks_s: Vec<f64> =
@@ -298,12 +300,9 @@
 ) {
     let at_s = run.looks_s[look];
     let tasks = job.run_s.len();
-    let early = EARLY_LEAST.max((tasks as f64 * EARLY_SHARE).ceil() as usize);
-    let is_early = job.cancelled.is_none()
-        && early < tasks
-        && run.course.order_s[early.min(tasks) - 1] == at_s;
-    let may_warn = run.warned_s.is_none() && job.due_s.is_some_and(|due_s| at_s < due_s);
-    if !is_early && !may_warn {
+    let is_early = job.cancelled.is_none() && run.course.early_s() == Some(at_s);
+    let due_s = job.due_s.filter(|due_s| run.warned_s.is_none() && at_s < *due_s);
+    if !is_early && due_s.is_none() {
         return;
     }
     let (shown, running, waiting) = run.course.look(job, at_s);
@@ -336,10 +335,8 @@
     }
     // What nothing is known of is not warned of before it shows itself.
     let known = estimate.grade > Grade::Unknown || shown.count() as usize >= EARLY_LEAST;
-    if let Some(due_s) = job.due_s
+    if let Some(due_s) = due_s
         && known
-        && run.warned_s.is_none()
-        && at_s < due_s
         && left.later_than(due_s - at_s) >= WARN_FROM
     {
         run.warned_s = Some(at_s);
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -23,6 +23,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -50,6 +51,12 @@
 
 type TaskAttempt = (TaskId, Attempt);
 
+/// All attempts at all tasks of a job.
+fn attempts_of(id: &JobId) -> RangeInclusive<TaskAttempt> {
+    let at = |index: u32, attempt: u64| (TaskId { job: id.clone(), index }, Attempt(attempt));
+    at(0, 0)..=at(u32::MAX, u64::MAX)
+}
+
 /// A message to a worker.
 #[derive(Debug)]
 pub enum Direct {
@@ -688,11 +695,10 @@
 
     /// Stops whatever a job that is over has anywhere.
     fn stop_all(&mut self, id: &JobId) {
-        let from = (TaskId { job: id.clone(), index: 0 }, Attempt(0));
-        let to = (TaskId { job: id.clone(), index: u32::MAX }, Attempt(u64::MAX));
+        let attempts = attempts_of(id);
         for machine in self.machines.values_mut() {
             let mut keys = Vec::new();
-            for (key, entry) in machine.entries.range_mut(from.clone()..=to.clone()) {
+            for (key, entry) in machine.entries.range_mut(attempts.clone()) {
                 if entry.state == TaskState::Exited {
                     entry.settled = true;
                 } else if entry.stop.as_ref().is_none_or(|stop| stop.grace_s > 0.0) {
@@ -929,8 +935,7 @@
         self.held.retain(|_, until| now < *until);
         self.held.insert(id.clone(), now + CANCEL_HOLD);
         let old = self.work.get(id).is_none_or(|work| work.old);
-        let from = (TaskId { job: id.clone(), index: 0 }, Attempt(0));
-        let to = (TaskId { job: id.clone(), index: u32::MAX }, Attempt(u64::MAX));
+        let attempts = attempts_of(id);
         let names = &self.settings.platform.params.zones;
         let spec = cache.jobs.get(id).and_then(Job::live).map(|job| &job.spec);
         let may = |machine: &Machine| {
@@ -941,7 +946,7 @@
         };
         let mut zones: BTreeSet<usize> = BTreeSet::new();
         for machine in self.machines.values() {
-            let mut entries = machine.entries.range(from.clone()..=to.clone());
+            let mut entries = machine.entries.range(attempts.clone());
             // What a predecessor started there no report may have shown yet.
             let unsure = old && !machine.confirmed && may(machine);
             if unsure || entries.any(|(_, e)| e.state != TaskState::Exited) {
@@ -1351,7 +1356,7 @@
             // What is being emptied takes nothing until it is empty.
             let emptying = machine.emptied_at.is_some_and(|at| now < at + CONSOLIDATE_EVERY);
             let name = &settings.platform.params.zones[machine.zone];
-            if !drained.is_empty() && drained.of(machine.id.as_str(), name).is_some() {
+            if drained.of(machine.id.as_str(), name).is_some() {
                 continue;
             }
             let up = machine.life == Life::Up
--- a/src/foreman/drains.rs
+++ b/src/foreman/drains.rs
@@ -4,7 +4,7 @@
 //! Nothing of this is kept but the order itself: a new leader goes on from what it finds running.
 
 use super::*;
-use crate::drains::Drained;
+use crate::drains::{DrainRecord, Drained};
 use troutspindle_protocol::ops::{Drain, DrainKind, Drains};
 
 #[derive(Debug, Default)]
@@ -42,10 +42,12 @@
         &self.settings.platform.params.zones[zone]
     }
 
+    fn drain_of(&self, machine: &Machine) -> Option<&DrainRecord> {
+        self.draining.drained.of(machine.id.as_str(), self.zone_name(machine.zone))
+    }
+
     pub(super) fn is_drained(&self, machine: &Machine) -> bool {
-        let drained = &self.draining.drained;
-        !drained.is_empty()
-            && drained.of(machine.id.as_str(), self.zone_name(machine.zone)).is_some()
+        self.drain_of(machine).is_some()
     }
 
     pub(super) fn drained_zones(&self) -> Vec<bool> {
@@ -55,8 +57,7 @@
 
     /// Seconds until a machine has to be empty; none if it is not drained, or by no time.
     fn drain_left_s(&self, machine: &Machine, now: Instant) -> Option<f64> {
-        let drain = self.draining.drained.of(machine.id.as_str(), self.zone_name(machine.zone))?;
-        Some((drain.by_ms? as f64 - self.wall.ms(now) as f64) / 1000.0)
+        Some((self.drain_of(machine)?.by_ms? as f64 - self.wall.ms(now) as f64) / 1000.0)
     }
 
     /// One round of moves and stops. `bins` are the machines that may take tasks: none that is drained.
@@ -167,9 +168,7 @@
         let may = |bin: &Bin| {
             let zone = bin.zone;
             bin.ready
-                && (spec.spot || !bin.spot)
-                && spec.zone.as_deref().is_none_or(|name| name == self.zone_name(zone))
-                && spec.flavors.as_ref().is_none_or(|f| f.contains(&self.flavors[bin.flavor].name))
+                && self.suits(spec, bin)
                 && (!spec.spread || there[zone] < half)
                 // What has to be in one zone stays there as long as any of it does.
                 && (!spec.one_zone || zone == from.zone || there[from.zone] == 0)
--- a/src/foreman/learning.rs
+++ b/src/foreman/learning.rs
@@ -4,7 +4,9 @@
 use super::*;
 use crate::state::ESTIMATES_PREFIX;
 use crate::wire::JobSpec;
-use troutspindle_estimates::{Current, Estimate, Grade, Learner, Profile, Told, remaining};
+use troutspindle_estimates::{
+    Current, Estimate, Grade, Learner, Profile, Told, hour_of, remaining,
+};
 use troutspindle_protocol::ops::{AtRisk, RiskyJob};
 
 /// What was seen of a job's run under this leader.
@@ -159,7 +161,7 @@
     }
 
     fn hour(&self, now: Instant) -> u32 {
-        u32::try_from(self.wall.ms(now) / 3_600_000).unwrap_or(0)
+        hour_of(self.wall.ms(now) / 1000)
     }
 
     /// By when a job should be done, by its own due time or the aim of its class, in milliseconds.
--- a/src/foreman/moves.rs
+++ b/src/foreman/moves.rs
@@ -1,6 +1,7 @@
 //! Moving work together, so that machines become empty and go back: the paper's consolidation.
 
 use super::*;
+use crate::wire::JobSpec;
 
 /// What a round may still move.
 struct Budget {
@@ -84,6 +85,14 @@
         }
     }
 
+    /// Whether a job may use a machine of this zone, type and kind.
+    pub(super) fn suits(&self, spec: &JobSpec, bin: &Bin) -> bool {
+        let zone = &self.settings.platform.params.zones[bin.zone];
+        (spec.spot || !bin.spot)
+            && spec.zone.as_ref().is_none_or(|name| name == zone)
+            && spec.flavors.as_ref().is_none_or(|f| f.contains(&self.flavors[bin.flavor].name))
+    }
+
     fn empty(&mut self, id: &MachineId, cache: &Cache, now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else { return };
         machine.emptied_at = Some(now);
@@ -144,15 +153,13 @@
             let target = free.values_mut().find(|(i, room)| {
                 let bin = &bins[*i];
                 let zone = bin.zone;
-                if !entry.need.fits(room) || (bin.spot && !spec.spot) {
+                if !entry.need.fits(room) || !self.suits(spec, bin) {
                     return false;
                 }
                 let image = |m: &Machine| m.images.contains(&entry.image);
                 let warm = names[*i].as_ref().and_then(|m| self.machines.get(m)).is_some_and(image);
-                let wanted = spec.zone.as_deref();
-                let here = wanted.is_none_or(|name| self.zone(name) == Some(zone));
                 let same = !spec.one_zone || zone == machine.zone;
-                if !(warm && here && same) {
+                if !(warm && same) {
                     return false;
                 }
                 let there = || {
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -1,6 +1,7 @@
 //! Stopping less urgent work for urgent work that finds no room.
 
 use super::*;
+use ordered_float::OrderedFloat;
 
 /// A task that could make way.
 struct Victim {
@@ -183,7 +184,7 @@
             let cold = !source.images.contains(&ask.image);
             source.way(ask, patience_s, cold, warm)
         };
-        let mut ways: BTreeMap<(Price, usize), Way> = BTreeMap::new();
+        let mut ways: BTreeMap<(OrderedFloat<f64>, usize), Way> = BTreeMap::new();
         for (at, source) in sources.iter().enumerate() {
             if let Some(way) = look(source) {
                 ways.insert((way.price, at), way);
@@ -229,25 +230,10 @@
     }
 }
 
-/// Seconds of work that are repeated, in a form that can be put in order.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Price(f64);
-
-impl Eq for Price {}
-impl PartialOrd for Price {
-    fn partial_cmp(&self, other: &Price) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Price {
-    fn cmp(&self, other: &Price) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
 /// Which tasks of a machine would make way for one task, by their numbers.
 struct Way {
-    price: Price,
+    /// Seconds of work that are repeated, and what a missing image adds.
+    price: OrderedFloat<f64>,
     loss: f64,
     victims: Vec<usize>,
 }
@@ -281,7 +267,7 @@
         if !ask.need.fits(&free) || victims.is_empty() || (warm && loss > IMAGE_WORTH_S) {
             return None;
         }
-        let price = Price(if cold { loss + IMAGE_WORTH_S } else { loss });
+        let price = OrderedFloat(if cold { loss + IMAGE_WORTH_S } else { loss });
         Some(Way { price, loss, victims })
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,7 @@
 };
 use crate::vouch::Voucher;
 use crate::wire::{self, Data, Guard, Misdirected, Orders, Report, Write};
+use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -222,16 +223,17 @@
         }
     }
 
-    /// Whether an operator's key was shown. Whoever does not know it learns not even that there is such a
-    /// path.
-    fn opens(&self, shown: &str) -> bool {
+    /// What an operator asks, if it shows the key. Whoever does not know that learns not even that there
+    /// is such a path.
+    fn opened<T: DeserializeOwned>(&self, body: &[u8], shown: impl Fn(&T) -> &str) -> Option<T> {
         let key = self.settings.operator.operator_key.0.as_bytes();
-        !key.is_empty() && bool::from(shown.as_bytes().ct_eq(key))
+        let asked: T = serde_json::from_slice(body).ok()?;
+        let opens = !key.is_empty() && bool::from(shown(&asked).as_bytes().ct_eq(key));
+        opens.then_some(asked)
     }
 
     fn on_at_risk(&self, body: &[u8], now: Instant) -> Response {
-        if !serde_json::from_slice::<ops::Question>(body).is_ok_and(|asked| self.opens(&asked.key))
-        {
+        if self.opened(body, |asked: &ops::Question| &asked.key).is_none() {
             return Response::empty(404);
         }
         match &self.foreman {
@@ -244,8 +246,7 @@
     }
 
     fn on_drains(&self, body: &[u8], now: Instant) -> Response {
-        if !serde_json::from_slice::<ops::Question>(body).is_ok_and(|asked| self.opens(&asked.key))
-        {
+        if self.opened(body, |asked: &ops::Question| &asked.key).is_none() {
             return Response::empty(404);
         }
         let cache = &self.state.cache;
@@ -258,12 +259,9 @@
 
     /// Any controller writes an operator's order down; the answer comes when it is there.
     fn on_drain(&mut self, ticket: u64, body: &[u8], now: Instant) -> Option<Response> {
-        let Ok(order) = serde_json::from_slice::<ops::DrainOrder>(body) else {
+        let Some(order) = self.opened(body, |order: &ops::DrainOrder| &order.key) else {
             return Some(Response::empty(404));
         };
-        if !self.opens(&order.key) {
-            return Some(Response::empty(404));
-        }
         let known = match order.kind {
             ops::DrainKind::Zone => self.settings.platform.params.zones.contains(&order.name),
             ops::DrainKind::Controller => {
@@ -296,12 +294,9 @@
     }
 
     fn on_undrain(&mut self, ticket: u64, body: &[u8]) -> Option<Response> {
-        let Ok(order) = serde_json::from_slice::<ops::DrainName>(body) else {
+        let Some(order) = self.opened(body, |order: &ops::DrainName| &order.key) else {
             return Some(Response::empty(404));
         };
-        if !self.opens(&order.key) {
-            return Some(Response::empty(404));
-        }
         let key = drains::key(order.kind, &order.name);
         if !self.state.cache.drains.contains_key(&key) {
             return Some(Response::empty(422));
