--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,18 +32,24 @@
     pub status: u16,
     pub body: Vec<u8>,
     pub retry_after_s: Option<u64>,
+    /// The connection is closed after it, whether or not the other side asked for that.
+    pub close: bool,
 }
 
 impl Response {
     pub fn empty(status: u16) -> Self {
-        Response { status, body: Vec::new(), retry_after_s: None }
+        Response { status, body: Vec::new(), retry_after_s: None, close: false }
     }
     pub fn with(status: u16, body: Vec<u8>) -> Self {
-        Response { status, body, retry_after_s: None }
+        Response { status, body, retry_after_s: None, close: false }
     }
     /// A refusal for now: it is sent at once and says when to come back.
     pub fn later(status: u16) -> Self {
-        Response { status, body: Vec::new(), retry_after_s: Some(RETRY_AFTER_S) }
+        Response::later_in(status, RETRY_AFTER_S)
+    }
+    /// The same, with the seconds after which to come back.
+    pub fn later_in(status: u16, seconds: u64) -> Self {
+        Response { retry_after_s: Some(seconds), ..Response::empty(status) }
     }
 }
 
@@ -213,7 +219,15 @@
             Ok(match parsed {
                 Parsed::Partial => Parsed::Partial,
                 Parsed::Done(body, more) => Parsed::Done(
-                    (Response { status, body, retry_after_s: frame.retry_after }, frame.close),
+                    (
+                        Response {
+                            status,
+                            body,
+                            retry_after_s: frame.retry_after,
+                            close: frame.close,
+                        },
+                        frame.close,
+                    ),
                     used + more,
                 ),
             })
@@ -284,16 +298,26 @@
     pub reply: oneshot::Sender<Response>,
 }
 
-/// Accepts connections until the process ends. Connections beyond `most` are told 503 and closed.
-pub async fn serve(listener: TcpListener, most: usize, to: mpsc::Sender<Incoming>) {
+/// Accepts connections until the process ends. Connections beyond `most` are told 503 and closed; `count` tells
+/// how many are open.
+pub async fn serve(
+    listener: TcpListener,
+    most: usize,
+    to: mpsc::Sender<Incoming>,
+    count: watch::Sender<usize>,
+) {
     let (done_tx, mut done_rx) = mpsc::unbounded_channel::<()>();
     let mut open = 0usize;
     loop {
         tokio::select! {
-            _ = done_rx.recv() => open -= 1,
+            _ = done_rx.recv() => {
+                open -= 1;
+                count.send_replace(open);
+            }
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     open += 1;
+                    count.send_replace(open);
                     let to = to.clone();
                     let done = done_tx.clone();
                     let refuse = open > most;
@@ -352,6 +376,7 @@
                     Ok(()) => answer.await.unwrap_or_else(|_| Response::later(503)),
                     Err(_) => Response::later(503),
                 };
+                let close = close || response.close;
                 (response, close)
             }
             Err(CodecError::BodyTooLarge) => (Response::empty(413), true),
@@ -389,6 +414,7 @@
 enum PoolMessage {
     Call(Call),
     Idle(SocketAddr, TcpStream),
+    Most(usize),
 }
 
 /// Idle connections. A leader speaks to hundreds of workers, each of which also holds a connection
@@ -441,6 +467,26 @@
         self.count = counted.map(|(_, list)| list.len()).sum();
     }
 
+    /// Keeps at most so many from now on, and closes those beyond.
+    fn bound(&mut self, most: usize) {
+        self.most = most;
+        if self.count <= most {
+            return;
+        }
+        self.sweep();
+        let mut beyond = self.count.saturating_sub(most);
+        let always = &self.always;
+        self.idle.retain(|address, list| {
+            if !always.contains(address) {
+                let closed = beyond.min(list.len());
+                list.drain(..closed);
+                beyond -= closed;
+            }
+            !list.is_empty()
+        });
+        self.count = self.count.min(most);
+    }
+
     fn take(&mut self, address: &SocketAddr) -> Option<TcpStream> {
         let counts = self.counts(address);
         let list = self.idle.get_mut(address)?;
@@ -476,6 +522,7 @@
             while let Some(message) = from.recv().await {
                 match message {
                     PoolMessage::Idle(address, stream) => pool.keep(address, stream),
+                    PoolMessage::Most(most) => pool.bound(most),
                     PoolMessage::Call(call) => {
                         let kept = pool.take(&call.address);
                         let back = back.clone();
@@ -497,6 +544,11 @@
         Client { to }
     }
 
+    /// Bounds the idle connections anew.
+    pub fn keep_most(&self, most: usize) {
+        let _ = self.to.send(PoolMessage::Most(most));
+    }
+
     /// Calls, until a time that counts from when the call was decided: one that this process got
     /// round to only later, after standing still, is not sent any more.
     pub async fn call(
@@ -635,7 +687,7 @@
 
     #[test]
     fn a_response_survives_its_own_encoding() {
-        let response = Response::later(503);
+        let response = Response { close: true, ..Response::later(503) };
         let bytes = encode_response(&response, true);
         assert_eq!(parse_response(&bytes), Ok(Parsed::Done((response, true), bytes.len())));
     }
@@ -660,6 +712,10 @@
         assert!(pool.take(&SocketAddr::from(([127, 0, 0, 1], 10))).is_some());
         assert!(pool.take(&state).is_some());
         assert_eq!(pool.count, 1);
+        // Where sockets get short, what is idle goes first.
+        pool.bound(0);
+        assert_eq!((workers(&pool), pool.count), (0, 0));
+        assert!(pool.idle.contains_key(&state));
     }
 
     /// A call that a process decided before it stood still must not go out when it wakes.
--- a/crates/protocol/src/ops.rs
+++ b/crates/protocol/src/ops.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::JobId;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// POST, with [`Question`]. Answered 404, as any path that there is not, without the right key.
 pub const AT_RISK_PATH: &str = "/ops/jobs/at-risk";
@@ -97,3 +98,32 @@
 pub struct Drains {
     pub drains: Vec<Drain>,
 }
+
+/// POST, with [`Question`]: which classes of which teams are below their floors.
+pub const STARVING_PATH: &str = "/ops/jobs/starving";
+
+/// A class of a team that is below its floor; room is counted in machines of the largest type.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StarvingGroup {
+    pub class: String,
+    pub team: String,
+    /// What its tasks take up, what it is to have at the least, and what it needs to be served as fast as
+    /// its work arrives.
+    pub held: f64,
+    pub floor: f64,
+    pub needed: f64,
+    /// Tasks that wait, by what for.
+    pub waits_for: BTreeMap<String, u64>,
+}
+
+/// Whether room is scarce, and who has least of it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Starving {
+    pub leader: String,
+    /// Seconds since room became scarce; none: it is not.
+    pub scarce_for_s: Option<f64>,
+    /// Machines that are up or booting, and whether none can be rented beside them.
+    pub machines: f64,
+    pub nothing_to_rent: bool,
+    pub groups: Vec<StarvingGroup>,
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -6,6 +6,7 @@
 use crate::http::{Method, Request, Response};
 use crate::ids::{Amount, JobId, NodeName};
 use crate::jobs::{self, Accept, Job, Jobs};
+use crate::limits::{Need, come_back_s};
 use crate::presence::{Given, Missing, Promises};
 use crate::settings::Settings;
 use crate::state::{Item, Origin, Outcome, Rank, StateCore};
@@ -25,6 +26,8 @@
     Abort(JobId),
     /// Operators ask what is at risk.
     AtRisk,
+    /// And what is starving.
+    Starving,
     Drain,
     Undrain,
     Drains,
@@ -42,6 +45,7 @@
         "/hello" => want(Method::Post, Route::Hello),
         "/api/jobs" => want(Method::Post, Route::Submit),
         ops::AT_RISK_PATH => ops_want(Route::AtRisk),
+        ops::STARVING_PATH => ops_want(Route::Starving),
         ops::DRAIN_PATH => ops_want(Route::Drain),
         ops::UNDRAIN_PATH => ops_want(Route::Undrain),
         ops::DRAINS_PATH => ops_want(Route::Drains),
@@ -58,6 +62,15 @@
     }
 }
 
+/// How much a request is needed by whoever sent it, by its path alone.
+pub fn need(request: &Request) -> Need {
+    match route(request) {
+        Route::Poll(_) => Need::Asks,
+        Route::Submit => Need::Submits,
+        _ => Need::Keeps,
+    }
+}
+
 /// PROTOCOL: ids are always in the form `wk-000412`.
 pub fn valid_id(id: &str) -> bool {
     id.strip_prefix("wk-").is_some_and(|rest| {
@@ -214,7 +227,7 @@
 
     fn later(&mut self) -> Response {
         self.refused += 1;
-        Response::later(503)
+        Response::later_in(503, come_back_s(self.waiting.len(), self.refused))
     }
 
     /// Takes a request in; an answer that needs nothing more comes back at once.
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -82,6 +82,8 @@
     calls: HashMap<u64, (CloudCall, Option<u64>, Instant)>,
     next_call: u64,
     rest_until: Instant,
+    /// Its last answer was that it is out as a whole.
+    is_out: bool,
     pub out: VecDeque<(u64, CloudCall)>,
 }
 
@@ -103,6 +105,7 @@
             calls: HashMap::new(),
             next_call: 0,
             rest_until: now,
+            is_out: false,
             out: VecDeque::new(),
         }
     }
@@ -140,6 +143,11 @@
         }
     }
 
+    /// Whether the cloud takes no requests at all, as far as its last answer tells.
+    pub fn is_out(&self) -> bool {
+        self.is_out
+    }
+
     /// Machines of a kind asked for without an answer yet.
     pub fn pending(&self) -> Vec<(Kind, u32)> {
         self.hires.values().map(|open| (open.kind, open.hire.count)).collect()
@@ -217,6 +225,11 @@
         let status = reply.as_ref().map(|r| r.status).unwrap_or(0);
         let body = reply.map(|r| r.body).unwrap_or_default();
         let mut events = Vec::new();
+        match status {
+            200 => self.is_out = false,
+            503 => self.is_out = !no_capacity(&body),
+            _ => {}
+        }
         if status == 429 {
             self.rest_until = now + STATE_RETRY;
         }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -5,8 +5,41 @@
 pub use troutspindle_protocol::constants::*;
 
 /// Share of the platform's socket limit that the public listener may hold; the rest is for the
-/// mesh and our own calls.
-pub const PUBLIC_SOCKET_SHARE: f64 = 0.8;
+/// mesh and our own calls, which need more only while few workers report here.
+pub const PUBLIC_SOCKET_SHARE: f64 = 0.88;
+/// Share of those that machines rented may take up: a twentieth is for workers that change over while
+/// their old connections are not closed yet, for health checks, and for users who have nobody else.
+pub const MACHINE_SOCKET_SHARE: f64 = 0.95;
+/// Share of the platform's socket limit that nothing else may take: the mesh, the state service, the cloud.
+pub const KEPT_SOCKET_SHARE: f64 = 0.03;
+/// Share of the platform's socket limit for calls to workers under way, however many connections are open.
+pub const DIRECT_SOCKET_LEAST: f64 = 0.04;
+/// Shares of public sockets that machines take up from which on a leader sends its users to other
+/// controllers, and below which it takes them again.
+pub const CROWDED_SHARE: f64 = 0.65;
+pub const UNCROWDED_SHARE: f64 = 0.5;
+/// Count. Other controllers that must be there to take a crowded leader's users.
+pub const CROWDED_PEERS: usize = 2;
+/// How long each of those must have been there: the load balancer does not send users to one that has just
+/// started.
+pub const CROWDED_PEER_UP: Duration = Duration::from_secs(15);
+/// Share of public sockets in use from which on users' connections are closed after each answer.
+pub const TIGHT_SHARE: f64 = 0.9;
+/// Share of the platform's memory limit that what is known of machines may take up.
+pub const MACHINE_MEMORY_SHARE: f64 = 0.5;
+/// Bytes. What a leader holds for a machine with its tasks, connection and part of the jobs: 6,000 were measured
+/// at 4,100 machines.
+pub const MACHINE_BYTES: f64 = 12_000.0;
+/// Pause between two decisions about how many machines a leader can hold: longer than a take-over keeps it busy.
+pub const CEILING_EVERY: Duration = Duration::from_secs(15);
+/// Share of the machines that sockets allow below which lateness is no reason to rent fewer.
+pub const CEILING_LEAST: f64 = 0.5;
+/// Count. Steps in which such a ceiling rises again from nothing.
+pub const CEILING_STEPS: u32 = 40;
+/// Count. Requests waiting for each second over which those who are refused are spread.
+pub const COME_BACK_EACH: u64 = 100;
+/// Seconds. The longest such time; PROTOCOL's users wait no longer than 30 s.
+pub const COME_BACK_MOST_S: u64 = 15;
 /// Share of the platform's socket limit that idle connections of ours to workers may hold.
 pub const IDLE_SOCKET_SHARE: f64 = 0.1;
 
@@ -109,6 +142,8 @@
 
 /// Seconds of repeated work by which a task of an elastic job is spared that is no wider than its least.
 pub const LEAST_WIDTH_S: f64 = 600.0;
+/// Seconds. What a task is taken to run at the least where work is reckoned up: owners may say 0.
+pub const RUN_LEAST_S: f64 = 1.0;
 /// Pause between two rounds of moves off what is drained.
 pub const DRAIN_EVERY: Duration = Duration::from_secs(1);
 /// Seconds. A task that saves is told so much earlier than its time is up: for the command and its report.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -36,11 +36,13 @@
 mod learning;
 mod lost;
 mod moves;
+mod shortage;
 mod stops;
 mod tidy;
 
 use drains::Draining;
 use learning::Learning;
+use shortage::{Group, Shortage};
 use stops::Stoppable;
 use tidy::Tidy;
 
@@ -83,6 +85,9 @@
     evidence: Evidence,
     /// How often tasks of it made way for urgent ones.
     made_way: u32,
+    /// Whether its work was counted as it came, and among what.
+    counted: bool,
+    group: Option<Group>,
     /// Tasks from here on were not looked at yet; those below that wait stand in `again` or `paused`.
     cursor: u32,
 }
@@ -200,12 +205,18 @@
     marks_at: Instant,
     /// Tasks that the last planning round left waiting, by cause: for the log.
     waits: BTreeMap<&'static str, u64>,
+    /// How many machines controllers can hold, and how many calls to workers may be under way at once.
+    pub most_machines: u32,
+    pub most_direct: usize,
+    /// From which machine on calls are sent next, where not all may be under way at once.
+    direct_from: Option<MachineId>,
     pub wall: Wall,
     /// What jobs inherit from those that need them, and whether that is to be found out anew.
     carried: HashMap<JobId, Carried>,
     carried_old: bool,
     tidy: Tidy,
     learning: Learning,
+    shortage: Shortage,
     draining: Draining,
     /// What is remembered of elastic jobs.
     widths: Widths<JobId>,
@@ -230,6 +241,7 @@
         let peers = settings.platform.others.iter().map(|peer| peer.host_name.clone());
         let zones = settings.platform.params.zones.len();
         let ranks = std::iter::repeat_with(Ranks::default).take(zones).collect();
+        let shortage = Shortage::new(settings.operator.floor);
         let mut foreman = Foreman {
             token,
             grants: Grants::new(token, peers, now),
@@ -261,11 +273,15 @@
             behind_at: None,
             marks_at: now,
             waits: BTreeMap::new(),
+            most_machines: u32::MAX,
+            most_direct: usize::MAX,
+            direct_from: None,
             wall,
             carried: HashMap::new(),
             carried_old: true,
             tidy: Tidy::new(now),
             learning: Learning::new(cache),
+            shortage,
             draining: Draining::default(),
             widths: Widths::default(),
             direct: Vec::new(),
@@ -1189,9 +1205,21 @@
             .iter()
             .map(|at| at.is_some_and(|at| now < at + self.settings.report_every()))
             .collect();
+        let under_way = self.machines.values().filter(|m| m.direct_in_flight).count();
+        let mut left = self.most_direct.saturating_sub(under_way);
+        // Those that were left out the last time come first.
+        let from = self.direct_from.take();
+        let skipped = |id: &MachineId| from.as_ref().is_some_and(|from| id < from);
         for machine in self.machines.values_mut() {
             machine.asked_openly &= machine.direct_in_flight;
             machine.asked_openly |= !machine.direct_in_flight && open[machine.zone];
+            if skipped(&machine.id) {
+                continue;
+            }
+            if left == 0 {
+                self.direct_from = Some(machine.id.clone());
+                break;
+            }
             let Some(address) = machine.address else { continue };
             if machine.direct_in_flight
                 || now < machine.direct_after
@@ -1207,6 +1235,7 @@
                     // take-over most of a second.
                     let session = Some(FIRST_SESSION);
                     let orders = Orders { token: self.token, session, orders: Vec::new() };
+                    left -= 1;
                     (machine.direct_in_flight, machine.direct_sent) = (true, now);
                     self.direct.push((machine.id.clone(), address, Direct::Do(orders)));
                 }
@@ -1217,12 +1246,14 @@
             if orders.is_empty() && machine.confirmed {
                 if machine.lent || machine.silent_for(now) > late {
                     // Its answer will show that it is in our reach again, or that it lives.
+                    left -= 1;
                     (machine.direct_in_flight, machine.direct_sent) = (true, now);
                     self.direct.push((machine.id.clone(), address, Direct::Status));
                 }
                 continue;
             }
             machine.note_flying(&orders, 1);
+            left -= 1;
             (machine.direct_in_flight, machine.direct_sent) = (true, now);
             let session = Some(machine.session);
             let orders = Orders { token: self.token, session, orders };
@@ -1492,8 +1523,23 @@
         let unlimited = Amount { cpu: u64::MAX, gpu: u64::MAX, ram: u64::MAX };
         team_room.push(unlimited);
 
+        let mut silent = self.silent_zones(now);
+        // No room is kept, and nothing rented, where all is to leave.
+        silent.iter_mut().zip(self.drained_zones()).for_each(|(shut, drained)| *shut |= drained);
+        let (mut bins, mut names) = self.bins(&sizes, now);
+        let pending = cloud.pending();
+        let may_rent = now >= self.since + HIRE_SETTLE
+            && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
+        let coming_up: u32 = pending.iter().map(|(_, count)| count).sum();
+        let held = u32::try_from(self.machines.len()).unwrap_or(u32::MAX);
+        let rents_left = self.most_machines.saturating_sub(held.saturating_add(coming_up));
+        self.look_for_shortage(
+            &live, &bins, &sizes, &team_room, &silent, may_rent, rents_left, cloud, now,
+        );
+
         let mut asks: Vec<Ask> = Vec::new();
         let mut sources: Vec<Source> = Vec::new();
+        let mut weights: Vec<Option<shortage::Weight>> = Vec::new();
         let mut wake: Option<Instant> = None;
         let growth = self.growth(&live, now);
         // Elastic jobs beyond their least width come after all that is served as usual.
@@ -1529,22 +1575,19 @@
                     continue;
                 }
                 sources.push(Source { job: id.clone(), left: ask.count });
+                weights.push(self.weight(id, job, &ask));
                 asks.push(ask);
             }
         }
+        self.owed_first(&mut sources, &mut asks, &mut weights, &sizes);
         for (source, ask) in wider {
             sources.push(source);
             asks.push(ask);
         }
         let real_asks = asks.len();
         self.coming_asks(&mut asks, coming, cache, &sizes);
-        let mut silent = self.silent_zones(now);
-        // No room is kept, and nothing rented, where all is to leave.
-        silent.iter_mut().zip(self.drained_zones()).for_each(|(shut, drained)| *shut |= drained);
         self.warm_asks(&mut asks, &sizes, &silent, params.teams.len());
 
-        let (mut bins, mut names) = self.bins(&sizes, now);
-        let pending = cloud.pending();
         for (kind, count) in &pending {
             for _ in 0..*count {
                 bins.push(Bin {
@@ -1575,8 +1618,6 @@
         let heavy_cap = ((total as f64 * settings.operator.heavy_cap) as usize).max(1);
         let mut kinds = self.offers(&sizes, &pending, now);
         kinds.retain(|(kind, _)| !silent[kind.zone]);
-        let may_rent = now >= self.since + HIRE_SETTLE
-            && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
         let offers = if may_rent { kinds.iter().map(|(_, o)| o.clone()).collect() } else { vec![] };
         let room: Vec<Amount> = team_room.clone();
         let mut urgent: BTreeMap<usize, Ask> = asks
@@ -1586,8 +1627,12 @@
             .filter(|(_, ask)| ask.urgency <= Urgency::High && ask.rents == Rents::Any)
             .map(|(n, ask)| (n, ask.clone()))
             .collect();
-        let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap });
-        for (why, left) in [("machine to come", &plan.booked), ("no room", &plan.short)] {
+        let plan = placement::plan(Input { bins, asks, team_room, offers, heavy_cap, rents_left });
+        if self.shortage.is_scarce() {
+            self.note_causes(&weights, &plan);
+        }
+        let no_room = if rents_left == 0 { "controllers hold no more machines" } else { "no room" };
+        for (why, left) in [("machine to come", &plan.booked), (no_room, &plan.short)] {
             let real = left.iter().filter(|(ask, _)| *ask < real_asks);
             let count: u32 = real.map(|(_, count)| count).sum();
             if count > 0 {
@@ -1753,6 +1798,7 @@
     use crate::records;
     use crate::settings::plain_flavor as flavor;
     use crate::wire::{JobSpec, ReportedTask};
+    use troutspindle_protocol::ops::Starving;
 
     /// A leader without peers, and the cores that it works with.
     struct Bench {
@@ -2202,6 +2248,65 @@
         assert_eq!(estimated(&mut bench, "wk-2"), None);
     }
 
+    /// Four machines, all that there are, full of an array's tasks and a service that wants all of it. Without
+    /// floors it takes all; with them the array keeps what is above nothing of its floor, and what others
+    /// give up goes first to whoever is below.
+    #[test]
+    fn what_a_class_holds_up_to_its_floor_stays_and_what_is_freed_goes_to_who_is_below() {
+        let running = |bench: &Bench, id: &JobId| {
+            let machines = bench.foreman.machines.values();
+            let entries = machines.flat_map(|m| m.entries.iter());
+            entries.filter(|((task, _), e)| task.job == *id && e.stop.is_none()).count()
+        };
+        let play = |floor: f64| {
+            let mut bench = Bench::new();
+            Arc::make_mut(&mut bench.foreman.settings).operator.floor = floor;
+            bench.foreman.shortage = Shortage::new(floor);
+            let names = ["i-1", "i-2", "i-3", "i-4"];
+            names.iter().for_each(|name| drop(bench.report(name, vec![])));
+            bench.foreman.listed_once = true;
+            bench.now += HIRE_SETTLE * 2;
+            names.iter().for_each(|name| drop(bench.report(name, vec![])));
+            for (zone, spot) in [(0, true), (0, false), (1, true), (1, false)] {
+                let kind = Kind { flavor: 0, zone, spot };
+                bench.foreman.scarce.insert(kind, (bench.now, CAPACITY_PROBE));
+            }
+            let array = bench.job("wk-1", Shape::Array, 400);
+            let second = |bench: &mut Bench| {
+                bench.pass(Duration::from_secs(1));
+                for name in names {
+                    let orders = bench.report(name, vec![]);
+                    bench.report(name, shown(&orders, TaskState::Running));
+                }
+            };
+            second(&mut bench);
+            assert_eq!(running(&bench, &array), 16);
+            for _ in 0..5 {
+                second(&mut bench);
+            }
+            let service = bench.job("wk-2", Shape::Service, 16);
+            let live = bench.state.cache.jobs.all.get_mut(&service);
+            let Some(JobBody::Live(live)) = live.map(|job| &mut job.body) else { panic!() };
+            let spec = Arc::make_mut(&mut live.spec);
+            (spec.urgency, spec.class) = (Urgency::Production, "urgent".into());
+            for _ in 0..5 {
+                bench.pass(Duration::from_millis(500));
+            }
+            let starving = bench.foreman.starving(bench.now);
+            (running(&bench, &array), running(&bench, &service), starving)
+        };
+        let (array, _, starving) = play(0.0);
+        let leader = starving.leader.clone();
+        assert_eq!((array, starving), (0, Starving { leader, ..Starving::default() }));
+        let (array, _, starving) = play(0.5);
+        // By the rate at which its 400 tasks of 10 s came the array needs 13 machines and the service needs
+        // 4, so the array's floor is three quarters of what there is.
+        assert_eq!(array, 12, "{starving:?}");
+        assert!(starving.scarce_for_s.is_some() && starving.nothing_to_rent);
+        let below: Vec<&str> = starving.groups.iter().map(|group| group.class.as_str()).collect();
+        assert_eq!(below, ["urgent"], "its room is not free yet");
+    }
+
     /// An elastic job starts at its least width, takes room that stayed free, makes way down to its least for
     /// what is more urgent, and does not come back at once.
     #[test]
--- a/src/foreman/elastic.rs
+++ b/src/foreman/elastic.rs
@@ -4,7 +4,7 @@
 use troutspindle_elastic::Grower;
 
 impl Foreman {
-    fn since_began(&self, now: Instant) -> Duration {
+    pub(super) fn since_began(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.since)
     }
 
--- /dev/null
+++ b/src/foreman/shortage.rs
@@ -0,0 +1,345 @@
+//! Floors while room is scarce: what is placed next, and what makes way.
+//!
+//! Owns the leader's view of what all accepted work asks for beside the machines that there are. It decides
+//! the order of asks and what may be stopped; it starts, stops and rents nothing itself, and while nothing is
+//! scarce it changes nothing. Nothing is stored: a new leader works it out from records and reports.
+
+use super::*;
+use troutspindle_protocol::ops::{Starving, StarvingGroup};
+use troutspindle_scarcity::constants::MACHINE;
+use troutspindle_scarcity::{Demand, Room, Scarcity, Standing, Supply, Turn};
+
+/// A class, numbered, and a team.
+pub(super) type Group = (u32, usize);
+
+/// Tasks of a group that wait, by cause.
+type Causes = BTreeMap<(Group, &'static str), u64>;
+
+pub(super) struct Shortage {
+    scarcity: Scarcity<Group>,
+    classes: HashMap<Arc<str>, u32>,
+    /// What is asked for, and of it what is needed at once, as it was last looked at.
+    demands: BTreeMap<Group, Demand>,
+    supply: Supply,
+    waits: Causes,
+}
+
+impl Shortage {
+    pub(super) fn new(floor: f64) -> Shortage {
+        Shortage {
+            scarcity: Scarcity::new(floor),
+            classes: HashMap::new(),
+            demands: BTreeMap::new(),
+            supply: Supply::default(),
+            waits: Causes::new(),
+        }
+    }
+
+    pub(super) fn is_scarce(&self) -> bool {
+        self.scarcity.since().is_some()
+    }
+}
+
+/// How an ask is reckoned while room is scarce.
+pub(super) struct Weight {
+    pub group: Group,
+    /// Machine-seconds that its job still takes: of an array those with least left go first, so that
+    /// many are done rather than all half done.
+    left: u64,
+    /// It must stay one ask: what its zones may still hold is counted in it.
+    whole: bool,
+}
+
+/// What may make way of each group; none: nothing is scarce.
+pub(super) type Spare = Option<BTreeMap<Group, Room>>;
+
+/// The share that an amount takes of a machine as large as the largest in each resource.
+fn room(amount: &Amount, largest: &Amount) -> Room {
+    let part = |amount: u64, whole: u64| match u128::from(whole) {
+        0 => 0,
+        whole => (u128::from(amount) * u128::from(MACHINE) / whole) as Room,
+    };
+    part(amount.cpu, largest.cpu)
+        .max(part(amount.gpu, largest.gpu))
+        .max(part(amount.ram, largest.ram))
+}
+
+pub(super) fn largest(sizes: &[Amount]) -> Amount {
+    let most = |f: fn(&Amount) -> u64| sizes.iter().map(f).max().unwrap_or(0);
+    Amount { cpu: most(|a| a.cpu), gpu: most(|a| a.gpu), ram: most(|a| a.ram) }
+}
+
+impl Foreman {
+    pub(super) fn group(&mut self, job: &LiveJob) -> Group {
+        let class = Self::image_id(&mut self.shortage.classes, &job.spec.class);
+        (class, self.team_of(&job.spec.team))
+    }
+
+    fn known_group(&self, job: &LiveJob) -> Option<Group> {
+        let class = self.shortage.classes.get(job.spec.class.as_str())?;
+        Some((*class, self.team_of(&job.spec.team)))
+    }
+
+    /// Whether nothing more can be rented now, as far as refusals tell.
+    fn is_exhausted(&self, silent: &[bool], cloud: &CloudCore) -> bool {
+        let mut kinds = self.flavors.iter().enumerate().flat_map(|(flavor, info)| {
+            let zones = info.zones.iter().filter_map(|name| self.zone(name));
+            zones.flat_map(move |zone| [true, false].map(|spot| Kind { flavor, zone, spot }))
+        });
+        cloud.is_out() || kinds.all(|kind| silent[kind.zone] || self.scarce.contains_key(&kind))
+    }
+
+    /// Looks at what all jobs that may run ask for, and at what there is. `room_left` is what each team may
+    /// still use, `may_rent` whether this leader knows enough to rent at all, and `most` how many more
+    /// machines controllers can hold.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn look_for_shortage(
+        &mut self,
+        live: &[(&JobId, &LiveJob)],
+        bins: &[Bin],
+        sizes: &[Amount],
+        room_left: &[Amount],
+        silent: &[bool],
+        may_rent: bool,
+        most: u32,
+        cloud: &CloudCore,
+        now: Instant,
+    ) {
+        if self.settings.operator.floor <= 0.0 {
+            return;
+        }
+        let largest = largest(sizes);
+        let since = self.since_began(now);
+        let now_ms = self.wall.ms(now);
+        let mut demands: BTreeMap<Group, Demand> = BTreeMap::new();
+        let learned = self.settings.operator.estimates.learn;
+        for (id, job) in live {
+            let group = self.group(job);
+            let Some(team) = self.settings.platform.params.teams.get(group.1) else { continue };
+            let guest = team.guarantee().is_zero();
+            let each = room(&job.need, &largest);
+            let run_s = self.run_s(id, job, learned).max(RUN_LEAST_S);
+            let Some(work) = self.work.get_mut(*id) else { continue };
+            work.group = Some(group);
+            if work.evidence.mistaken() {
+                continue;
+            }
+            let (held, waiting) = (work.placed.len() as u64, work.waiting(job));
+            let demand = demands.entry(group).or_default();
+            demand.guest = guest;
+            demand.ordinary = !job.spec.spot;
+            demand.held += each * held;
+            demand.waiting += each * waiting;
+            if job.spec.shape == Shape::Service {
+                demand.offered += each * (held + waiting);
+                continue;
+            }
+            if !std::mem::replace(&mut work.counted, true) {
+                let age = Duration::from_millis(now_ms.saturating_sub(job.since_ms()));
+                let tasks = job.spec.tasks - job.done_count().min(job.spec.tasks);
+                let work = (each * tasks) as f64 * run_s / MACHINE as f64;
+                self.shortage.scarcity.came(&group, work, age, since);
+            }
+        }
+        for (group, demand) in &mut demands {
+            let arriving = self.shortage.scarcity.arriving(group, since);
+            demand.offered += arriving;
+            let limit = room_left.get(group.1).map_or(0, |left| room(left, &largest));
+            demand.waiting = demand.waiting.min(limit);
+        }
+        if self.shortage.is_scarce() {
+            self.leave_out_stopping(&mut demands, &largest);
+        }
+        let mut supply = Supply {
+            exhausted: may_rent && (most == 0 || self.is_exhausted(silent, cloud)),
+            ..Supply::default()
+        };
+        for bin in bins {
+            let size = room(&sizes[bin.flavor], &largest);
+            *(if bin.spot { &mut supply.spot } else { &mut supply.ordinary }) += size;
+        }
+        let turn = self.shortage.scarcity.look(&demands, &supply, since);
+        (self.shortage.demands, self.shortage.supply) = (demands, supply);
+        match turn {
+            Some(Turn::Began) => tracing::info!(
+                machines = supply.all() as f64 / MACHINE as f64,
+                held_floor_needed = ?self.shares(),
+                waits_for = ?self.waits,
+                "room is scarce"
+            ),
+            Some(Turn::Ended) => {
+                tracing::info!(exhausted = supply.exhausted, "room is scarce no longer");
+                self.shortage.waits.clear();
+            }
+            None => {}
+        }
+    }
+
+    /// What was told to stop makes way already and is held no longer.
+    fn leave_out_stopping(&self, demands: &mut BTreeMap<Group, Demand>, largest: &Amount) {
+        for machine in self.machines.values() {
+            for ((task, attempt), entry) in &machine.entries {
+                if entry.stop.is_none() || entry.state == TaskState::Exited {
+                    continue;
+                }
+                let placed = self.work.get(&task.job).and_then(|work| work.placed.get(&task.index));
+                if placed.is_none_or(|(_, placed)| placed != attempt) {
+                    continue;
+                }
+                let Some((class, team)) = self.shortage_group_of(&task.job) else { continue };
+                if let Some(demand) = demands.get_mut(&(class, team)) {
+                    let each = room(&entry.need, largest);
+                    demand.held = demand.held.saturating_sub(each);
+                    demand.waiting += each;
+                }
+            }
+        }
+    }
+
+    fn shortage_group_of(&self, id: &JobId) -> Option<Group> {
+        self.work.get(id)?.group
+    }
+
+    /// Machines' worth that each group holds, its floor, and what it needs.
+    fn shares(&self) -> BTreeMap<String, [f64; 3]> {
+        let machines = |room: Room| (room as f64 / MACHINE as f64 * 10.0).round() / 10.0;
+        let row = |(group, standing): (&Group, &Standing)| {
+            let needed = self.shortage.demands.get(group).map_or(0, Demand::needed);
+            let row = [standing.held, standing.floor, needed].map(machines);
+            (self.group_name(group).join(" of "), row)
+        };
+        self.shortage.scarcity.standings().map(row).collect()
+    }
+
+    fn group_name(&self, (class, team): &Group) -> [String; 2] {
+        let class = self.shortage.classes.iter().find(|(_, n)| *n == class);
+        let class = class.map_or(String::new(), |(name, _)| name.to_string());
+        let team = self.settings.platform.params.teams.get(*team);
+        [class, team.map_or(String::new(), |team| team.name.clone())]
+    }
+
+    /// How an ask is reckoned, if anything is scarce.
+    pub(super) fn weight(&mut self, id: &JobId, job: &LiveJob, ask: &Ask) -> Option<Weight> {
+        if !self.shortage.is_scarce() {
+            return None;
+        }
+        let group = self.group(job);
+        let spec = &job.spec;
+        let run_s = self.run_s(id, job, self.settings.operator.estimates.learn).max(RUN_LEAST_S);
+        let tasks = spec.tasks.saturating_sub(job.done_count()) as f64;
+        let left =
+            if spec.shape == Shape::Service { 0.0 } else { tasks * run_s * ask.need.cpu as f64 };
+        let whole = spec.spread || spec.one_zone || ask.gang;
+        Some(Weight { group, left: left as u64, whole })
+    }
+
+    /// Brings forward what is owed to groups below their floors, those that have least of it first. An ask
+    /// is divided where only a part of it is owed.
+    pub(super) fn owed_first(
+        &self,
+        sources: &mut Vec<Source>,
+        asks: &mut Vec<Ask>,
+        weights: &mut Vec<Option<Weight>>,
+        sizes: &[Amount],
+    ) {
+        if !self.shortage.is_scarce() {
+            return;
+        }
+        let largest = largest(sizes);
+        let mut owed: BTreeMap<Group, Room> = BTreeMap::new();
+        let mut reached = BTreeMap::new();
+        for (group, standing) in self.shortage.scarcity.standings() {
+            owed.insert(*group, standing.owed);
+            reached.insert(*group, standing.reached());
+        }
+        let mut order: Vec<usize> = (0..asks.len()).collect();
+        order.retain(|n| weights[*n].as_ref().is_some_and(|w| owed.get(&w.group) > Some(&0)));
+        order.sort_by_key(|n| {
+            let weight = weights[*n].as_ref();
+            weight.map(|w| (reached.get(&w.group).copied(), w.left, *n))
+        });
+        let mut first = (Vec::new(), Vec::new(), Vec::new());
+        let mut taken = vec![false; asks.len()];
+        for n in order {
+            let Some(Weight { group, left, whole }) = &weights[n] else { continue };
+            let Some(owed) = owed.get_mut(group).filter(|owed| **owed > 0) else { continue };
+            let each = room(&asks[n].need, &largest).max(1);
+            let count = u32::try_from(owed.div_ceil(each)).unwrap_or(u32::MAX);
+            let count = if *whole { asks[n].count } else { count.min(asks[n].count) };
+            *owed = owed.saturating_sub(each * u64::from(count));
+            first.0.push(Source { job: sources[n].job.clone(), left: count });
+            first.1.push(Ask { count, ..asks[n].clone() });
+            first.2.push(Some(Weight { group: *group, left: *left, whole: *whole }));
+            asks[n].count -= count;
+            sources[n].left -= count;
+            taken[n] = asks[n].count == 0;
+        }
+        let kept = |n: &mut usize| {
+            *n += 1;
+            !taken[*n - 1]
+        };
+        let (mut a, mut b, mut c) = (0, 0, 0);
+        sources.retain(|_| kept(&mut a));
+        asks.retain(|_| kept(&mut b));
+        weights.retain(|_| kept(&mut c));
+        sources.splice(0..0, first.0);
+        asks.splice(0..0, first.1);
+        weights.splice(0..0, first.2);
+    }
+
+    /// Notes why tasks wait, for whoever asks.
+    pub(super) fn note_causes(&mut self, weights: &[Option<Weight>], plan: &placement::Plan) {
+        self.shortage.waits.clear();
+        for (why, left) in [("machine to come", &plan.booked), ("no room", &plan.short)] {
+            for (ask, count) in left {
+                let Some(Some(weight)) = weights.get(*ask) else { continue };
+                *self.shortage.waits.entry((weight.group, why)).or_default() += u64::from(*count);
+            }
+        }
+    }
+
+    /// What may make way of each group: what it holds above its floor.
+    pub(super) fn spare(&self) -> Spare {
+        let standings = self.shortage.scarcity.standings();
+        self.shortage
+            .is_scarce()
+            .then(|| standings.map(|(group, standing)| (*group, standing.spare)).collect())
+    }
+
+    /// The group of a task that could make way, and what stopping it takes from that.
+    pub(super) fn taken_from(
+        &self,
+        job: &LiveJob,
+        need: &Amount,
+        largest: &Amount,
+    ) -> Option<(Group, Room)> {
+        Some((self.known_group(job)?, room(need, largest)))
+    }
+
+    /// What operators are told of groups below their floors.
+    pub fn starving(&self, now: Instant) -> Starving {
+        let machines = |room: Room| room as f64 / MACHINE as f64;
+        let below = self.shortage.scarcity.standings().filter(|(_, s)| s.owed > 0);
+        let groups = below.map(|(group, standing)| {
+            let [class, team] = self.group_name(group);
+            let needed = self.shortage.demands.get(group).map_or(0, Demand::needed);
+            let causes = self.shortage.waits.iter().filter(|((of, _), _)| of == group);
+            StarvingGroup {
+                class,
+                team,
+                held: machines(standing.held),
+                floor: machines(standing.floor),
+                needed: machines(needed),
+                waits_for: causes.map(|((_, why), n)| ((*why).to_owned(), *n)).collect(),
+            }
+        });
+        let since = self.shortage.scarcity.since();
+        Starving {
+            leader: self.settings.platform.host_name.to_string(),
+            scarce_for_s: since.map(|at| self.since_began(now).saturating_sub(at).as_secs_f64()),
+            machines: machines(self.shortage.supply.all()),
+            nothing_to_rent: self.shortage.supply.exhausted,
+            groups: groups.collect(),
+        }
+    }
+}
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -13,6 +13,8 @@
     saved_loss: f64,
     loss: f64,
     save_s: f64,
+    /// Where room is scarce: whose floor it counts towards, and how much it takes up.
+    of: Option<(shortage::Group, u64)>,
 }
 
 /// A machine with tasks that could make way, those first that lose least for their size.
@@ -32,6 +34,8 @@
 #[derive(Default)]
 pub(super) struct Stoppable {
     sources: Option<Vec<Source>>,
+    /// What may make way of each group, where room is scarce.
+    spare: shortage::Spare,
     /// Asks for which nothing could make way: room for others alike was looked for in vain, and what
     /// could make way only gets less within a pass.
     hopeless: Vec<Ask>,
@@ -46,6 +50,28 @@
         && a.zone_room.iter().map(closed).eq(b.zone_room.iter().map(closed))
 }
 
+/// Whether a group has so much above its floor.
+fn has_spare(spare: &shortage::Spare, group: shortage::Group, room: u64) -> bool {
+    spare.as_ref().is_none_or(|spare| spare.get(&group).is_some_and(|spare| *spare >= room))
+}
+
+/// Takes what these take up from what their groups have above their floors, if it is there for all.
+fn spare_takes(
+    spare: &mut shortage::Spare,
+    victims: impl Iterator<Item = (shortage::Group, u64)>,
+) -> bool {
+    let Some(spare) = spare else { return true };
+    let mut sums: BTreeMap<shortage::Group, u64> = BTreeMap::new();
+    victims.for_each(|(group, room)| *sums.entry(group).or_default() += room);
+    if sums.iter().any(|(group, room)| spare.get(group).is_none_or(|left| left < room)) {
+        return false;
+    }
+    for (group, room) in sums {
+        spare.entry(group).and_modify(|left| *left -= room);
+    }
+    true
+}
+
 impl Foreman {
     /// Stops less urgent tasks where that makes room for urgent ones that found none: on a
     /// machine that has the image if there is one, and those that lose least.
@@ -89,7 +115,9 @@
             && live.spec.image_gb / rate > within_s * FETCH_SHARE
     }
 
-    fn sources(&self, cache: &Cache, now: Instant) -> Vec<Source> {
+    fn sources(&self, spare: &shortage::Spare, cache: &Cache, now: Instant) -> Vec<Source> {
+        let sizes: Vec<Amount> = (0..self.flavors.len()).map(|f| self.size(f)).collect();
+        let largest = shortage::largest(&sizes);
         let knows = self.settings.operator.estimates.make_way;
         let mut sources = Vec::new();
         for machine in self.machines.values().filter(|m| self.takes_work(m, now)) {
@@ -115,6 +143,12 @@
                     if known.is_some_and(|rest_s| rest_s < ENDS_SOON_S) {
                         return None;
                     }
+                    let of =
+                        spare.as_ref().and_then(|_| self.taken_from(live, &entry.need, &largest));
+                    // What a group holds up to its floor stays, whoever waits.
+                    if of.is_some_and(|(group, room)| !has_spare(spare, group, room)) {
+                        return None;
+                    }
                     let saves = spec.checkpoint_s > 0.0;
                     // What made way before has lost enough: else the same small jobs are stopped
                     // again and again until they end late.
@@ -129,6 +163,7 @@
                         loss: least
                             + weight * if saves { ran.min(spec.checkpoint_s / 2.0) } else { ran },
                         save_s: if saves { spec.save_s } else { 0.0 },
+                        of,
                     })
                 })
                 .collect();
@@ -177,7 +212,11 @@
         }
         // Saving goes on for as long as the urgent task waits for the room.
         let patience_s = ask.within_s.unwrap_or(f64::INFINITY) * SAVE_SHARE;
-        let sources = stoppable.sources.get_or_insert_with(|| self.sources(cache, now));
+        if stoppable.sources.is_none() {
+            stoppable.spare = self.spare();
+            stoppable.sources = Some(self.sources(&stoppable.spare, cache, now));
+        }
+        let Stoppable { sources: Some(sources), spare, .. } = stoppable else { return 0 };
         // Room that is made on one machine changes what it costs there alone, so each is looked at
         // once and again after each choice of it.
         let look = |source: &Source| {
@@ -195,6 +234,14 @@
             && let Some(((_, at), way)) = ways.pop_first()
         {
             let source = &mut sources[at];
+            if !spare_takes(spare, way.victims.iter().filter_map(|n| source.victims[*n].of)) {
+                // Others made way up to that floor.
+                source.victims.retain(|v| v.of.is_none_or(|(g, room)| has_spare(spare, g, room)));
+                if let Some(way) = look(source).filter(|other| other.victims != way.victims) {
+                    ways.insert((way.price, at), way);
+                }
+                continue;
+            }
             tracing::info!(machine = %source.id, tasks = way.victims.len(), loss = way.loss, "preempted");
             let mut stopped = Vec::new();
             for n in way.victims.into_iter().rev() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod foreman;
 pub mod jobs;
+pub mod limits;
 pub mod mesh;
 pub mod node;
 pub mod pipelines;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,6 @@
 //! One controller: the cores put together, and the actor that carries their effects out.
 
-use crate::api::{Api, Route, route};
+use crate::api::{Api, Route, need, route};
 use crate::clock::Wall;
 use crate::cloud::{CloudCall, CloudCore, CloudEvent};
 use crate::constants::*;
@@ -10,6 +10,7 @@
 use crate::http::{self, CallError, Client, Incoming, Method, Request, Response};
 use crate::ids::{JobId, MachineId, NodeName, Revision};
 use crate::jobs;
+use crate::limits::{Ceiling, Inbox, Need, Sockets, come_back_s};
 use crate::mesh::{self, MeshMessage, Pieces};
 use crate::presence::Presence;
 use crate::records;
@@ -20,6 +21,7 @@
 };
 use crate::vouch::Voucher;
 use crate::wire::{self, Data, Guard, Misdirected, Orders, Report, Write};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -27,7 +29,7 @@
 use std::time::Duration;
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 use troutspindle_protocol::ops;
 
@@ -68,6 +70,7 @@
 struct PeerView {
     heard: Instant,
     state_lost: bool,
+    up: Duration,
 }
 
 /// Milliseconds since then.
@@ -114,6 +117,11 @@
     format: Option<u32>,
     /// When the next tick was due.
     tick_due: Instant,
+    sockets: Sockets,
+    ceiling: Ceiling,
+    /// Public connections that are open, and whether workers' take up most of them.
+    open: usize,
+    crowded: bool,
     pub out: Vec<Effect>,
 }
 
@@ -150,6 +158,10 @@
             may_act: false,
             format: None,
             tick_due: now,
+            sockets: Sockets::new(&p.params.resources),
+            ceiling: Ceiling::new(&p.params.resources, now),
+            open: 0,
+            crowded: false,
             out: Vec::new(),
             settings,
         })
@@ -163,6 +175,11 @@
         }
     }
 
+    /// Told how many public connections are open.
+    pub fn set_open(&mut self, open: usize) {
+        self.open = open;
+    }
+
     pub fn handle(&mut self, event: Event, now: Instant) {
         // Ticks come several times a second, so this process stood still: what it finds in its
         // queues is old, and the silence that it slept through proves nothing about anyone.
@@ -213,6 +230,7 @@
             Route::Unknown => Some(Response::empty(404)),
             Route::WrongMethod => Some(Response::empty(405)),
             Route::AtRisk => Some(self.on_at_risk(&request.body, now)),
+            Route::Starving => Some(self.on_starving(&request.body, now)),
             Route::Drains => Some(self.on_drains(&request.body, now)),
             Route::Drain => self.on_drain(ticket, &request.body, now),
             Route::Undrain => self.on_undrain(ticket, &request.body),
@@ -233,13 +251,26 @@
     }
 
     fn on_at_risk(&self, body: &[u8], now: Instant) -> Response {
+        self.as_leader(body, now, |foreman| foreman.at_risk(&self.state.cache, now))
+    }
+
+    fn on_starving(&self, body: &[u8], now: Instant) -> Response {
+        self.as_leader(body, now, |foreman| foreman.starving(now))
+    }
+
+    /// What only the leader can tell an operator.
+    fn as_leader<T: Serialize>(
+        &self,
+        body: &[u8],
+        now: Instant,
+        tell: impl Fn(&Foreman) -> T,
+    ) -> Response {
         if self.opened(body, |asked: &ops::Question| &asked.key).is_none() {
             return Response::empty(404);
         }
         match &self.foreman {
             Some(foreman) if self.election.may_act(now) => {
-                let found = foreman.at_risk(&self.state.cache, now);
-                Response::with(200, serde_json::to_vec(&found).unwrap_or_default())
+                Response::with(200, serde_json::to_vec(&tell(foreman)).unwrap_or_default())
             }
             _ => Response::empty(421),
         }
@@ -336,7 +367,18 @@
     fn is_up(&self, now: Instant) -> bool {
         let fresh = |peer: &PeerView| now.saturating_duration_since(peer.heard) < STATE_LOST;
         let others_fine = self.peers.values().any(|peer| fresh(peer) && !peer.state_lost);
-        self.state.cache.loaded && !(self.state.lost(now) && others_fine) && !self.stands_aside(now)
+        let elsewhere = self.stands_aside(now) || self.leaves_users(now);
+        self.state.cache.loaded && !(self.state.lost(now) && others_fine) && !elsewhere
+    }
+
+    /// A leader whose sockets are mostly workers' leaves users to the others, if enough of them have been there
+    /// for a while.
+    fn leaves_users(&self, now: Instant) -> bool {
+        let serves = |view: &&PeerView| {
+            let fresh = now.saturating_duration_since(view.heard) < STATE_LOST;
+            fresh && !view.state_lost && view.up > CROWDED_PEER_UP
+        };
+        self.crowded && self.peers.values().filter(serves).count() >= CROWDED_PEERS
     }
 
     /// An operator has this controller drained, and another is there that is not and has the store: it
@@ -550,7 +592,10 @@
                 let heard = worker_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
                 self.worker_elsewhere = self.worker_elsewhere.max(heard);
                 if direct {
-                    self.peers.insert(from.clone(), PeerView { heard: now, state_lost });
+                    self.peers.insert(
+                        from.clone(),
+                        PeerView { heard: now, state_lost, up: Duration::from_millis(up_ms) },
+                    );
                 }
                 if self.election.may_act(now)
                     && let Some(foreman) = &mut self.foreman
@@ -699,9 +744,7 @@
     }
 
     fn on_tick(&mut self, now: Instant) {
-        if let Some(foreman) = &mut self.foreman {
-            foreman.pace(now.saturating_duration_since(self.tick_due), now);
-        }
+        self.look_at_limits(now);
         if now >= self.mesh_at {
             self.mesh_at = now + MESH_EVERY;
             self.mesh_seq += 1;
@@ -763,6 +806,23 @@
         }
     }
 
+    /// How late this process is, and how much it can hold.
+    fn look_at_limits(&mut self, now: Instant) {
+        let late = now.saturating_duration_since(self.tick_due);
+        let machines = match &mut self.foreman {
+            Some(foreman) => {
+                foreman.pace(late, now);
+                foreman.most_machines = self.ceiling.most();
+                foreman.most_direct = self.sockets.ours(self.open).1;
+                foreman.machines.len()
+            }
+            None => 0,
+        };
+        self.crowded = self.sockets.crowded(machines, self.crowded);
+        let held = u32::try_from(machines).unwrap_or(u32::MAX);
+        self.ceiling.look(held, late > LATE, now);
+    }
+
     /// A leader that no worker reaches hands over, if workers reach another controller. Silence
     /// alone is no reason: where the others are down, workers take seconds to find the one left,
     /// and once nobody led for so long that every lease ran out.
@@ -970,8 +1030,9 @@
     let (events, mut inbox) = mpsc::unbounded_channel::<Event>();
     let (state_events, mut state_inbox) = mpsc::unbounded_channel::<Event>();
     let (http_tx, mut http_rx) = mpsc::channel::<Incoming>(USER_QUEUE_MAX);
-    let sockets = platform.params.resources.max_sockets as f64 * PUBLIC_SOCKET_SHARE;
-    tokio::spawn(http::serve(public, sockets as usize, http_tx));
+    let sockets = Sockets::new(&platform.params.resources);
+    let (count_tx, open) = watch::channel(0usize);
+    tokio::spawn(http::serve(public, sockets.public, http_tx, count_tx));
     let (mesh_tx, mut mesh_rx) = mpsc::unbounded_channel();
     tokio::spawn(mesh::serve(mesh_listener, mesh_tx));
     let mut dialers: HashMap<NodeName, mpsc::Sender<MeshMessage>> = HashMap::new();
@@ -980,14 +1041,16 @@
         tokio::spawn(mesh::dial(peer.peer_addr, rx));
         dialers.insert(peer.host_name.clone(), tx);
     }
-    let sockets = platform.params.resources.max_sockets as f64 * IDLE_SOCKET_SHARE;
+    let mut idle_most = sockets.ours(0).0;
     let always = vec![platform.external.state, platform.external.cloud];
-    let client = Client::start(sockets as usize, always);
+    let client = Client::start(idle_most, always);
     let mut wall = Wall::read(Instant::now());
     let Some(mut node) = Node::new(settings.clone(), rand::random(), wall) else {
         return Err(std::io::Error::other("histogram bounds"));
     };
-    let mut replies: HashMap<u64, oneshot::Sender<Response>> = HashMap::new();
+    let mut replies: HashMap<u64, (oneshot::Sender<Response>, Need)> = HashMap::new();
+    let mut requests: Inbox<(u64, Request)> = Inbox::new(USER_QUEUE_MAX);
+    let mut arrived: Vec<Incoming> = Vec::new();
     let mut next_ticket = FIRST_TICKET;
     let mut tick_at = Instant::now();
     loop {
@@ -1000,16 +1063,48 @@
             _ = tokio::time::sleep_until(tick_at) => Event::Tick,
             event = async {
                 tokio::select! {
-                    Some(event) = inbox.recv() => event,
+                    Some(event) = inbox.recv() => Some(event),
                     Some(incoming) = http_rx.recv() => {
+                        arrived.push(incoming);
+                        None
+                    }
+                    _ = std::future::ready(()), if !requests.is_empty() => None,
+                }
+            } => match event {
+                Some(event) => event,
+                None => {
+                    let now = Instant::now();
+                    // All that have come are looked at before one is handled: the most needed goes first.
+                    while let Ok(incoming) = http_rx.try_recv() {
+                        arrived.push(incoming);
+                    }
+                    for incoming in arrived.drain(..) {
                         next_ticket += 1;
-                        replies.insert(next_ticket, incoming.reply);
-                        Event::Http(next_ticket, incoming.request)
+                        let need = need(&incoming.request);
+                        replies.insert(next_ticket, (incoming.reply, need));
+                        if let Some((refused, _)) = requests.push(need, (next_ticket, incoming.request), now) {
+                            refuse(&mut replies, refused, requests.len());
+                        }
+                    }
+                    match requests.pop(now) {
+                        Some(((ticket, request), false)) => Event::Http(ticket, request),
+                        Some(((ticket, _), true)) => {
+                            refuse(&mut replies, ticket, requests.len());
+                            continue;
+                        }
+                        None => continue,
                     }
                 }
-            } => event,
+            },
         };
         let now = Instant::now();
+        let now_open = *open.borrow();
+        node.set_open(now_open);
+        let idle = sockets.ours(now_open).0;
+        if idle != idle_most {
+            idle_most = idle;
+            client.keep_most(idle);
+        }
         if now >= wall.at + WALL_EVERY {
             wall = Wall::read(now);
             node.set_wall(wall);
@@ -1024,8 +1119,9 @@
         tick_at = if tick_at <= now { next } else { tick_at.min(next) };
         for effect in node.out.drain(..) {
             match effect {
-                Effect::Reply(ticket, response) => {
-                    if let Some(reply) = replies.remove(&ticket) {
+                Effect::Reply(ticket, mut response) => {
+                    if let Some((reply, need)) = replies.remove(&ticket) {
+                        response.close = need > Need::Keeps && sockets.tight(now_open);
                         let _ = reply.send(response);
                     }
                 }
@@ -1069,6 +1165,17 @@
     }
 }
 
+/// Tells somebody whom this process does not get round to when to come back.
+fn refuse(
+    replies: &mut HashMap<u64, (oneshot::Sender<Response>, Need)>,
+    ticket: u64,
+    waiting: usize,
+) {
+    if let Some((reply, _)) = replies.remove(&ticket) {
+        let _ = reply.send(Response::later_in(503, come_back_s(waiting, ticket)));
+    }
+}
+
 async fn send_direct(
     client: &Client,
     machine: MachineId,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -143,6 +143,8 @@
     pub offers: Vec<Offer>,
     /// Machines that the heavy basket may hold.
     pub heavy_cap: usize,
+    /// How many more machines may be rented, of whatever kind.
+    pub rents_left: u32,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -190,6 +192,7 @@
     /// Machines in the heavy basket.
     heavy: usize,
     heavy_cap: usize,
+    rents_left: u32,
     /// Asks for which nothing was left. Room only shrinks within a plan, so that one alike needs
     /// no look at hundreds of machines: guests come with hundreds of small jobs.
     hopeless: Vec<Ask>,
@@ -413,6 +416,7 @@
     /// Opens a bin for the cheapest offer that the ask may use; among equals, in the zone that
     /// holds fewest machines.
     fn rent(&mut self, ask: &Ask) -> Option<usize> {
+        self.rents_left = self.rents_left.checked_sub(1)?;
         let choice = (0..self.offers.len())
             .filter(|&i| {
                 let offer = &self.offers[i];
@@ -458,7 +462,7 @@
 }
 
 pub fn plan(input: Input) -> Plan {
-    let Input { bins, mut asks, team_room, offers, heavy_cap } = input;
+    let Input { bins, mut asks, team_room, offers, heavy_cap, rents_left } = input;
     let hires = vec![0; offers.len()];
     let mut warm: HashMap<u32, Vec<usize>> =
         asks.iter().map(|ask| (ask.image, Vec::new())).collect();
@@ -480,6 +484,7 @@
         offers,
         team_room,
         heavy_cap,
+        rents_left,
         hopeless: Vec::new(),
         plan: Plan { hires, ..Plan::default() },
     };
@@ -674,7 +679,14 @@
             .collect();
         let cpu = random.random_range(0..machines * 7_500_000);
         let room = Amount { cpu, gpu: 0, ram: u64::MAX };
-        Input { bins, asks, team_room: vec![room; 2], offers: vec![], heavy_cap: 3 }
+        Input {
+            bins,
+            asks,
+            team_room: vec![room; 2],
+            offers: vec![],
+            heavy_cap: 3,
+            rents_left: u32::MAX,
+        }
     }
 
     #[test]
@@ -731,6 +743,7 @@
             team_room: vec![unlimited],
             offers: vec![offer(0, false, 0.9), offer(0, true, 0.3), offer(1, true, 0.3)],
             heavy_cap: 1,
+            rents_left: u32::MAX,
             ..Input::default()
         };
         let plan = plan(input);
@@ -746,6 +759,7 @@
             team_room: vec![Amount { cpu: 8_000_000, gpu: 0, ram: u64::MAX }],
             offers: vec![offer(0, true, 0.3)],
             heavy_cap: 1,
+            rents_left: u32::MAX,
             ..Input::default()
         };
         let plan = plan(input);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -188,6 +188,8 @@
     pub estimates: Estimates,
     /// Classes whose jobs run as wide as room allows.
     pub elastic: Vec<ElasticClass>,
+    /// Share of what each class of each team needs that it gets before all others while room is scarce.
+    pub floor: f64,
 }
 
 /// How wide the jobs of a class run: arrays only.
@@ -250,6 +252,7 @@
             operator_key: Secret::default(),
             estimates: Estimates::default(),
             elastic: Vec::new(),
+            floor: 0.0,
         }
     }
 }
@@ -325,6 +328,7 @@
         range("idle_return_s", o.idle_return_s, 0.0, 86_400.0);
         range("warm_per_zone", o.warm_per_zone, 0.0, 1000.0);
         range("warm_share", o.warm_share, 0.0, 1.0);
+        range("floor", o.floor, 0.0, 1.0);
         let key = o.operator_key.0.len();
         if key > 0 {
             range("operator_key (its length in bytes)", key as f64, KEY_LEAST, KEY_MOST);
