A test of the world: half of each class is served whoever leads

Need: scarcity through a change of leader, a restart of all and an outage of the store at the start.

--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -36,9 +36,13 @@
 const CANCEL_MS: u64 = 32_000;
 const NODES: usize = 3;
 const ZONES: [&str; 2] = ["a", "b"];
+/// Ordinary and spot machines of a zone on a usual day.
+const PLENTY: [usize; 2] = [6, 6];
+/// Floors are on in every play: no rule may depend on them.
+const FLOOR: f64 = 0.6;
 
 /// How a controller is set up; `old` stands for one of the version before this one.
-fn settings(node: usize, old: bool) -> Arc<Settings> {
+fn settings(node: usize, old: bool, floor: f64) -> Arc<Settings> {
     let others: Vec<String> = (0..NODES)
         .filter(|n| *n != node)
         .map(|n| {
@@ -58,9 +62,9 @@
         ZONES[World::node_zone(node)],
         others.join(",")
     );
-    Arc::new(
-        Settings::parse(&text, Some(if old { "hold_format: true" } else { LEARNING })).unwrap(),
-    )
+    let operator =
+        if old { "hold_format: true".to_owned() } else { format!("{LEARNING}floor: {floor}") };
+    Arc::new(Settings::parse(&text, Some(&operator)).unwrap())
 }
 
 /// All that learned run times are used for, and arrays that grow and make way: no rule may depend on either.
@@ -201,8 +205,8 @@
     /// The state service refuses this node alone.
     Refused(usize, bool),
     CloudOutage(bool),
-    /// The cloud has two machines of a kind instead of six.
-    Scarce(bool),
+    /// So many ordinary and spot machines can be had in each zone.
+    Capacity([usize; 2]),
     /// A third of the new machines never comes up, the others late.
     BadBoots(bool),
     /// Connections between nodes are refused.
@@ -309,7 +313,10 @@
     refused: Option<usize>,
     slow_node: Option<usize>,
     cloud_out: bool,
-    scarce: bool,
+    /// Ordinary and spot machines that the cloud has in each zone.
+    capacity: [usize; 2],
+    /// The operators' floor under scarcity.
+    floor: f64,
     bad_boots: bool,
     no_mesh: bool,
     slow_machines: bool,
@@ -364,7 +371,8 @@
             refused: None,
             slow_node: None,
             cloud_out: false,
-            scarce: false,
+            capacity: PLENTY,
+            floor: FLOOR,
             bad_boots: false,
             no_mesh: false,
             slow_machines: false,
@@ -380,7 +388,11 @@
         };
         for node in 0..NODES {
             let wall = world.wall();
-            world.nodes.push(Node::new(settings(node, old), seed * 10 + node as u64, wall));
+            world.nodes.push(Node::new(
+                settings(node, old, world.floor),
+                seed * 10 + node as u64,
+                wall,
+            ));
             world.at(1 + node as u64, Due::Tick(node));
         }
         world.at(50, Due::LeaseCheck);
@@ -510,7 +522,8 @@
             Due::Restart(node) => {
                 self.down[node] = false;
                 let seed = self.random.random();
-                self.nodes[node] = Node::new(settings(node, self.old[node]), seed, self.wall());
+                self.nodes[node] =
+                    Node::new(settings(node, self.old[node], self.floor), seed, self.wall());
             }
             Due::LeaseCheck => {
                 self.end_leases();
@@ -809,7 +822,7 @@
                 let known = self.hired.get(&hire.request).cloned();
                 let alike = |w: &&Worker| !w.gone && w.zone == kind.zone && w.spot == kind.spot;
                 let held = self.workers.values().filter(alike).count();
-                let most = if self.scarce { 2usize } else { 6 };
+                let most = self.capacity[usize::from(kind.spot)];
                 let room = most.saturating_sub(held).min(hire.count as usize);
                 if known.is_none() && room == 0 {
                     let error = NO_CAPACITY.into();
@@ -1157,7 +1170,7 @@
         let tasks = if service { 4 } else { self.random.random_range(1..9) };
         let spec = JobSpec {
             id: JobId::new(&format!("wk-{number}")),
-            class: "c".into(),
+            class: if service { "s" } else { "c" }.into(),
             team: "t".into(),
             shape: if service { Shape::Service } else { Shape::Array },
             urgency: if service { Urgency::Production } else { Urgency::High },
@@ -1306,7 +1319,7 @@
             }
             Fault::Refused(node, on) => self.refused = on.then_some(node),
             Fault::CloudOutage(on) => self.cloud_out = on,
-            Fault::Scarce(on) => self.scarce = on,
+            Fault::Capacity(machines) => self.capacity = machines,
             Fault::BadBoots(on) => self.bad_boots = on,
             Fault::Mesh(on) => self.no_mesh = on,
             Fault::SlowNode(node, on) => self.slow_node = on.then_some(node),
@@ -1727,7 +1740,7 @@
     let troubles: [fn(usize, bool) -> Fault; 7] = [
         Fault::Refused,
         |_, on| Fault::CloudOutage(on),
-        |_, on| Fault::Scarce(on),
+        |_, on| Fault::Capacity(if on { [2, 2] } else { PLENTY }),
         |_, on| Fault::BadBoots(on),
         |_, on| Fault::Mesh(on),
         Fault::SlowNode,
@@ -2065,3 +2078,60 @@
         assert!(world.jobs.values().skip(2).all(|job| job.told_done), "seed {seed}");
     }
 }
+
+/// Four machines for what asks for six: services want all of them, may stop arrays and may not be stopped, but come
+/// and go. Gives of arrays that came in time how many were done, and the share of replicas that ran, once there was
+/// room, of those that were asked for.
+fn scarce_day(seed: u64, floor: f64, faults: &[(u64, Fault)]) -> (f64, f64) {
+    let mut world = World::new(seed);
+    world.floor = floor;
+    for node in 0..NODES {
+        world.nodes[node] = Node::new(settings(node, false, floor), seed * 10, world.wall());
+    }
+    world.capacity = [2, 0];
+    let services: Vec<u64> = (100..125).collect();
+    for n in &services {
+        let at = 3000 + (n - 100) * 11_000;
+        world.submit_at(at, *n, true, Some(at + 50_000));
+    }
+    for n in 5..45 {
+        world.submit_at(n * 4000, n, false, None);
+    }
+    for (t, fault) in faults {
+        world.at(*t, Due::Fault(*fault));
+    }
+    let (mut up, mut wanted) = (0, 0);
+    for s in 0..200 {
+        world.run(s * 1000);
+        for n in services.iter().filter(|_| s >= 60) {
+            let job = &world.jobs[n];
+            if job.accepted && job.told_cancelled.is_none() {
+                up += world.running(*n);
+                wanted += 4;
+            }
+        }
+    }
+    assert!(world.broken.is_empty(), "seed {seed}, {faults:?}: {:#?}", world.broken);
+    // Those of the last 40 s may still run.
+    let done = (5..40).filter(|n| world.jobs[n].told_done).count();
+    (done as f64 / 35.0, up as f64 / wanted as f64)
+}
+
+/// Half of each class is served whoever leads, and whenever it began.
+#[test]
+fn no_class_starves_where_room_is_scarce() {
+    let (done, _) = scarce_day(1, 0.0, &[]);
+    assert!(done < 0.35, "by priority alone services leave nothing: {done}");
+    let crash_all: Vec<_> = (0..NODES).map(|n| (70_000, Fault::Crash(n))).collect();
+    let all = [
+        vec![],
+        vec![(50_000, Fault::Crash(0)), (80_000, Fault::Crash(1)), (110_000, Fault::Crash(2))],
+        crash_all,
+        vec![(1000, Fault::Outage(true)), (25_000, Fault::Outage(false))],
+        vec![(20_000, Fault::CloudOutage(true)), (90_000, Fault::CloudOutage(false))],
+    ];
+    for (n, faults) in all.iter().enumerate() {
+        let (done, up) = scarce_day(n as u64, FLOOR, faults);
+        assert!(done >= 0.5 && up >= 0.5, "{faults:?}: done {done}, up {up}");
+    }
+}
