spindlectl jobs starving and bound; passes take a bounded share of the processor

Need: whoever is on call sees who is below the floor and why; what was served is judged beside what could have been. At 8,202 machines single passes took up to 0.7 s and the leader lost its lease again and again.

--- a/crates/protocol/src/ops.rs
+++ b/crates/protocol/src/ops.rs
@@ -127,3 +127,35 @@
     pub nothing_to_rent: bool,
     pub groups: Vec<StarvingGroup>,
 }
+
+/// What one class of a team asks for, in machines of the largest type, as the leader's log tells every few seconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GroupDemand {
+    pub class: String,
+    pub team: String,
+    /// Its tasks run until they are cancelled.
+    pub service: bool,
+    /// It may not use spot machines.
+    pub ordinary: bool,
+    pub held: f64,
+    pub waiting: f64,
+    /// Machine-seconds of arrays that arrive in a second, on average.
+    pub arriving: f64,
+    pub floor: f64,
+}
+
+/// The line `demand` of the log, whose field of that name is this as JSON.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct DemandLine {
+    /// Seconds since this leadership began.
+    pub at_s: f64,
+    /// Machines that are up or booting.
+    pub ordinary: f64,
+    pub spot: f64,
+    pub exhausted: bool,
+    pub scarce: bool,
+    pub groups: Vec<GroupDemand>,
+}
+
+/// What stands before that JSON in a line of the log.
+pub const DEMAND_FIELD: &str = "demand=";
--- a/crates/spindlectl/src/ask.rs
+++ b/crates/spindlectl/src/ask.rs
@@ -105,6 +105,14 @@
         first(self.all(AT_RISK_PATH, &self.question()).await, |_| true)
     }
 
+    /// What the leader says is starving.
+    ///
+    /// # Errors
+    /// As above.
+    pub async fn starving(&self) -> Result<Starving, AskError> {
+        first(self.all(STARVING_PATH, &self.question()).await, |_| true)
+    }
+
     /// What is drained, by the leader if it is among them: the others don't know what is left.
     ///
     /// # Errors
--- a/crates/spindlectl/src/cli.rs
+++ b/crates/spindlectl/src/cli.rs
@@ -1,14 +1,14 @@
 //! The command line.
 
 use crate::ask::Cluster;
-use crate::{generate, past, replay, report};
+use crate::{bound, generate, past, replay, report};
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use troutspindle_protocol::ops::{AtRisk, Drain, DrainKind, DrainOrder, Drains};
+use troutspindle_protocol::ops::{AtRisk, Drain, DrainKind, DrainOrder, Drains, Starving};
 
 /// The operators' command of troutspindle.
 #[derive(Parser)]
@@ -58,6 +58,12 @@
     },
     /// What is drained, and what is left there.
     Drains(Controllers),
+    /// How much of what each class asked for was served on a day, beside what could have been at the most.
+    Bound {
+        /// The controllers' logs of that day, at level `info` and with a `floor` set.
+        #[arg(required = true, value_name = "LOG")]
+        logs: Vec<PathBuf>,
+    },
     /// Learned run times, tried on histories of jobs.
     #[command(subcommand)]
     Estimates(Estimates),
@@ -69,6 +75,8 @@
 enum Jobs {
     /// Those that will probably be late, the likeliest first.
     AtRisk(Controllers),
+    /// Classes of teams that have less than their floor while room is scarce, and what they wait for.
+    Starving(Controllers),
 }
 
 #[derive(Args)]
@@ -190,6 +198,32 @@
     text
 }
 
+fn starving_text(found: &Starving) -> String {
+    let Some(scarce_s) = found.scarce_for_s else {
+        return format!("leader {}: room is not scarce\n", found.leader);
+    };
+    let rent = if found.nothing_to_rent { "nothing to rent" } else { "more can be rented" };
+    let (leader, since, machines) = (&found.leader, seconds(scarce_s), found.machines);
+    let mut text = format!("leader {leader}: scarce for {since}, {machines:.0} machines, {rent}\n");
+    if found.groups.is_empty() {
+        text += "nobody is below the floor\n";
+    }
+    for group in &found.groups {
+        let causes = group.waits_for.iter().map(|(why, n)| format!("{n} tasks: {why}"));
+        let causes: Vec<String> = causes.collect();
+        text += &format!(
+            "{} of {}: has {:.1} machines of a floor of {:.1} (needs {:.1})  {}\n",
+            group.class,
+            group.team,
+            group.held,
+            group.floor,
+            group.needed,
+            causes.join(", ")
+        );
+    }
+    text
+}
+
 fn seconds(s: f64) -> String {
     let whole = std::time::Duration::from_secs(s.abs() as u64);
     let sign = if s < 0.0 { "-" } else { "" };
@@ -225,6 +259,14 @@
             let found = converse(from.cluster()?.at_risk())?;
             write(cli.output, &found, at_risk_text)
         }
+        Command::Jobs(Jobs::Starving(from)) => {
+            let found = converse(from.cluster()?.starving())?;
+            write(cli.output, &found, starving_text)
+        }
+        Command::Bound { logs } => {
+            let bound = bound::bound(&bound::read(&logs)?)?;
+            write(cli.output, &bound, bound::text)
+        }
         Command::Drain { what, by, reason, author, from } => {
             let cluster = from.cluster()?;
             let order = DrainOrder {
--- a/crates/spindlectl/src/constants.rs
+++ b/crates/spindlectl/src/constants.rs
@@ -25,3 +25,5 @@
 pub const PLOT: (u32, u32) = (640, 360);
 /// How long a controller may take to answer.
 pub const ASK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Seconds. Slots into which a day is divided to find what could have been served: several lines of the log each.
+pub const SLOT_S: f64 = 20.0;
--- a/crates/spindlectl/src/lib.rs
+++ b/crates/spindlectl/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod ask;
+pub mod bound;
 pub mod cli;
 pub mod constants;
 pub mod generate;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -188,6 +188,8 @@
     watch_at: Instant,
     plan_at: Instant,
     plan_wanted: bool,
+    /// A pass was made in the event that is being handled.
+    planned: bool,
     /// Machines kept as warm room.
     reserved: HashSet<MachineId>,
     consolidate_at: Instant,
@@ -265,6 +267,7 @@
             watch_at: now,
             plan_at: now,
             plan_wanted: true,
+            planned: false,
             reserved: HashSet::new(),
             consolidate_at: now + MOVE_AFTER,
             low_starts: Bucket::new(LOW_RATE_FIRST, 1.0, now),
@@ -1029,6 +1032,14 @@
         self.low_starts.set_rate(self.low_rate, now);
     }
 
+    /// Told how long the last event took to handle. Passes take a bounded share of the processor, however
+    /// much waits: else they leave no time for what they decide, nor for the leader's lease.
+    pub fn took(&mut self, took: Duration, now: Instant) {
+        if std::mem::take(&mut self.planned) {
+            self.plan_at = self.plan_at.max(now + took * PLAN_PAUSE);
+        }
+    }
+
     /// Called often, and only while this process may act.
     pub fn tick(&mut self, state: &mut StateCore, cloud: &mut CloudCore, now: Instant) {
         if now >= self.watch_at {
@@ -1044,6 +1055,7 @@
         if now >= self.plan_at && (self.plan_wanted || now >= self.plan_at + PLAN_IDLE) {
             self.plan_wanted = false;
             self.plan_at = now + PLAN_EVERY;
+            self.planned = true;
             self.plan(&state.cache, cloud, now);
         }
         self.send_direct(now);
@@ -1783,6 +1795,9 @@
             stops = self.stops,
             "counts"
         );
+        if let Some(demand) = self.demand_line(now) {
+            tracing::info!(%demand, "what is asked for");
+        }
     }
 }
 
--- a/src/foreman/shortage.rs
+++ b/src/foreman/shortage.rs
@@ -5,7 +5,7 @@
 //! scarce it changes nothing. Nothing is stored: a new leader works it out from records and reports.
 
 use super::*;
-use troutspindle_protocol::ops::{Starving, StarvingGroup};
+use troutspindle_protocol::ops::{DemandLine, GroupDemand, Starving, StarvingGroup};
 use troutspindle_scarcity::constants::MACHINE;
 use troutspindle_scarcity::{Demand, Room, Scarcity, Standing, Supply, Turn};
 
@@ -316,6 +316,39 @@
         Some((self.known_group(job)?, room(need, largest)))
     }
 
+    /// What is asked for beside what there is, for the log; none while floors are off.
+    pub(super) fn demand_line(&self, now: Instant) -> Option<String> {
+        if self.settings.operator.floor <= 0.0 {
+            return None;
+        }
+        let machines = |room: Room| (room as f64 / MACHINE as f64 * 100.0).round() / 100.0;
+        let since = self.since_began(now);
+        let shortage = &self.shortage;
+        let group = |(group, demand): (&Group, &Demand)| {
+            let [class, team] = self.group_name(group);
+            let arriving = shortage.scarcity.arriving(group, since);
+            GroupDemand {
+                class,
+                team,
+                service: arriving == 0,
+                ordinary: demand.ordinary,
+                held: machines(demand.held),
+                waiting: machines(demand.waiting),
+                arriving: machines(arriving),
+                floor: machines(shortage.scarcity.standing(group).map_or(0, |s| s.floor)),
+            }
+        };
+        let line = DemandLine {
+            at_s: since.as_secs_f64(),
+            ordinary: machines(shortage.supply.ordinary),
+            spot: machines(shortage.supply.spot),
+            exhausted: shortage.supply.exhausted,
+            scarce: shortage.is_scarce(),
+            groups: shortage.demands.iter().map(group).collect(),
+        };
+        serde_json::to_string(&line).ok()
+    }
+
     /// What operators are told of groups below their floors.
     pub fn starving(&self, now: Instant) -> Starving {
         let machines = |room: Room| room as f64 / MACHINE as f64;
--- a/src/node.rs
+++ b/src/node.rs
@@ -175,6 +175,13 @@
         }
     }
 
+    /// Told how long the last event took to handle.
+    pub fn took(&mut self, took: Duration, now: Instant) {
+        if let Some(foreman) = &mut self.foreman {
+            foreman.took(took, now);
+        }
+    }
+
     /// Told how many public connections are open.
     pub fn set_open(&mut self, open: usize) {
         self.open = open;
@@ -1112,6 +1119,7 @@
         let kind = event.kind();
         node.handle(event, now);
         let took = now.elapsed();
+        node.took(took, now);
         if took > SLOW_EVENT {
             tracing::info!(kind, took_ms = took.as_millis() as u64, "slow to handle");
         }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -206,13 +206,14 @@
         && a.flavors == b.flavors
 }
 
-/// Whether nothing but what [`alike`] compares decides where it may go.
+/// Whether nothing but what [`alike`] compares, and its zones, decides where it may go.
 fn plain(ask: &Ask) -> bool {
-    !ask.gang
-        && !ask.one_zone
-        && ask.avoid.is_empty()
-        && ask.basket == Basket::Light
-        && ask.zone_room.iter().all(|room| *room == u32::MAX)
+    !ask.gang && !ask.one_zone && ask.avoid.is_empty() && ask.basket == Basket::Light
+}
+
+/// Whether each zone that is open to one was open to the other until the end of its search.
+fn within(a: &Ask, b: &Ask) -> bool {
+    a.zone_room.iter().zip(&b.zone_room).all(|(a, b)| *a == 0 || *b > 0)
 }
 
 /// An ask on its way through the bins: its tasks are alike, so a bin that is full for one is full
@@ -230,7 +231,9 @@
     /// none of them, though what it would need is booked and rented all the same.
     fn serve(&mut self, at: usize, ask: &mut Ask, cap: usize) -> u32 {
         if !ask.gang {
-            if plain(ask) && self.hopeless.iter().any(|other| alike(ask, other)) {
+            if plain(ask)
+                && self.hopeless.iter().any(|other| alike(ask, other) && within(ask, other))
+            {
                 return ask.count;
             }
             let left = self.fill(at, ask, cap);
@@ -416,7 +419,9 @@
     /// Opens a bin for the cheapest offer that the ask may use; among equals, in the zone that
     /// holds fewest machines.
     fn rent(&mut self, ask: &Ask) -> Option<usize> {
-        self.rents_left = self.rents_left.checked_sub(1)?;
+        if self.rents_left == 0 {
+            return None;
+        }
         let choice = (0..self.offers.len())
             .filter(|&i| {
                 let offer = &self.offers[i];
@@ -438,6 +443,7 @@
         let offer = &mut self.offers[choice];
         offer.most -= 1;
         offer.held += 1;
+        self.rents_left -= 1;
         self.plan.hires[choice] += 1;
         self.bins.push(Bin {
             index: u64::MAX,
@@ -466,7 +472,9 @@
     let hires = vec![0; offers.len()];
     let mut warm: HashMap<u32, Vec<usize>> =
         asks.iter().map(|ask| (ask.image, Vec::new())).collect();
-    for (i, bin) in bins.iter().enumerate() {
+    // Most bins of a full fleet have no room for any ask.
+    let least = asks.iter().map(|ask| ask.need).reduce(|a, b| a.least(&b)).unwrap_or_default();
+    for (i, bin) in bins.iter().enumerate().filter(|(_, bin)| least.fits(&bin.free)) {
         for image in bin.images.iter() {
             if let Some(bins) = warm.get_mut(image) {
                 bins.push(i);
