Requests that come together are read a few at a time; a bench of passes while room is scarce

Change: a connection takes one of 256 turns before it reads, and gives it back when its request is handled.

--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use troutspindle::clock::Wall;
-use troutspindle::cloud::CloudCore;
+use troutspindle::cloud::{CloudCore, CloudEvent, Kind};
 use troutspindle::fleet::Life;
 use troutspindle::foreman::Foreman;
 use troutspindle::ids::{JobId, MachineId, NodeName, Revision, Token};
@@ -45,7 +45,7 @@
             "cloud":{{"rps":5.0,"list_lag_s":6.0}},"resources":{{"max_sockets":3600}}}}}}"#,
             teams.join(",")
         );
-        let settings = Arc::new(Settings::parse(&text, None).expect("settings"));
+        let settings = Arc::new(Settings::parse(&text, Some("floor: 0.7")).expect("settings"));
         let now = Instant::now();
         let limits = settings.platform.params.state.kept();
         let mut state = StateCore::new(limits, vec![NodeName::new("n")], 1, now);
@@ -162,7 +162,29 @@
 type Load = (&'static str, fn(&mut Leader));
 
 fn planning(criterion: &mut Criterion) {
-    let loads: [Load; 4] = [
+    let loads: [Load; 5] = [
+        ("1,000 arrays and 1,000 services while room is scarce", |leader| {
+            for zone in 0..3 {
+                for spot in [true, false] {
+                    let refused = CloudEvent::Refused(Kind { flavor: 0, zone, spot });
+                    leader.foreman.on_cloud(refused, &leader.state.cache, leader.now);
+                }
+            }
+            let listed = CloudEvent::Listed(Vec::new(), leader.now);
+            leader.foreman.on_cloud(listed, &leader.state.cache, leader.now);
+            for n in 0..1000 {
+                leader.job(n % TEAMS, 60, |_| {});
+                leader.job(n % TEAMS, 9, |spec| {
+                    spec.class = "service".into();
+                    spec.shape = Shape::Service;
+                    spec.urgency = Urgency::Production;
+                    spec.spread = true;
+                    spec.spot = false;
+                });
+            }
+            (0..8).for_each(|_| leader.pass());
+            assert!(leader.foreman.starving(leader.now).scarce_for_s.is_some());
+        }),
         ("one job of 100,000 tasks", |leader| leader.job(0, WAITING, |_| {})),
         ("1,000 jobs of 100 tasks", |leader| {
             (0..1000).for_each(|n| leader.job(n % TEAMS, WAITING / 1000, |_| {}));
--- a/crates/protocol/src/constants.rs
+++ b/crates/protocol/src/constants.rs
@@ -11,6 +11,9 @@
 pub const HEAD_MAX: usize = 8 * 1024;
 /// Bytes. What one read takes at the most: more than nearly all messages have.
 pub const READ_AT_ONCE: usize = 4096;
+/// Count. Requests that are read and not handled yet, at the most: at some tenths of a millisecond each they take
+/// less than a tenth of a second, and are enough to choose from which goes first.
+pub const READ_TOGETHER: usize = 256;
 /// Count. Headers in one message.
 pub const HEADERS_MAX: usize = 48;
 /// A client that sends half a request is dropped after this long.
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -6,10 +6,11 @@
 use crate::constants::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -296,6 +297,8 @@
 pub struct Incoming {
     pub request: Request,
     pub reply: oneshot::Sender<Response>,
+    /// Dropped when the request is handled, whether or not it is answered by then.
+    pub turn: OwnedSemaphorePermit,
 }
 
 /// Accepts connections until the process ends. Connections beyond `most` are told 503 and closed; `count` tells
@@ -307,6 +310,9 @@
     count: watch::Sender<usize>,
 ) {
     let (done_tx, mut done_rx) = mpsc::unbounded_channel::<()>();
+    // Thousands of requests that come at once are read a few at a time: else whatever else this process
+    // does, its own calls to the state service first of all, waits behind all of them.
+    let gate = Arc::new(Semaphore::new(READ_TOGETHER));
     let mut open = 0usize;
     loop {
         tokio::select! {
@@ -318,7 +324,7 @@
                 Ok((stream, _)) => {
                     open += 1;
                     count.send_replace(open);
-                    let to = to.clone();
+                    let (to, gate) = (to.clone(), gate.clone());
                     let done = done_tx.clone();
                     let refuse = open > most;
                     tokio::spawn(async move {
@@ -327,7 +333,7 @@
                             let bytes = encode_response(&Response::later(503), true);
                             let _ = timeout(READ_TIMEOUT, stream.write_all(&bytes)).await;
                         } else {
-                            connection(stream, to).await;
+                            connection(stream, to, gate).await;
                         }
                         let _ = done.send(());
                     });
@@ -350,38 +356,54 @@
     stream.read_buf(buffer).await
 }
 
-async fn connection(mut stream: TcpStream, to: mpsc::Sender<Incoming>) {
+/// The same of what is there by now.
+fn read_now(stream: &TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<usize> {
+    buffer.reserve(READ_AT_ONCE);
+    stream.try_read_buf(buffer)
+}
+
+async fn connection(mut stream: TcpStream, to: mpsc::Sender<Incoming>, gate: Arc<Semaphore>) {
     let _ = stream.set_nodelay(true);
     let mut buffer: Vec<u8> = Vec::new();
     loop {
+        let mut turn = None;
         let parsed = loop {
-            match parse_request(&buffer) {
-                Ok(Parsed::Done(found, used)) => {
+            match (parse_request(&buffer), &turn) {
+                (Ok(Parsed::Done(found, used)), Some(_)) => {
                     buffer.drain(..used);
                     break Ok(found);
                 }
-                Ok(Parsed::Partial) => {}
-                Err(error) => break Err(error),
-            }
-            let wait = if buffer.is_empty() { IDLE_TIMEOUT } else { READ_TIMEOUT };
-            match timeout(wait, read_some(&mut stream, &mut buffer)).await {
-                Ok(Ok(n)) if n > 0 => {}
-                _ => return,
+                // All of it came with the request before.
+                (Ok(Parsed::Done(..)), None) => turn = gate.clone().acquire_owned().await.ok(),
+                (Err(error), _) => break Err(error),
+                (Ok(Parsed::Partial), _) => {
+                    // Nobody waits for who sends half a request.
+                    drop(turn.take());
+                    let wait = if buffer.is_empty() { IDLE_TIMEOUT } else { READ_TIMEOUT };
+                    let Ok(Ok(())) = timeout(wait, stream.readable()).await else { return };
+                    turn = gate.clone().acquire_owned().await.ok();
+                    match read_now(&stream, &mut buffer) {
+                        Ok(n) if n > 0 => {}
+                        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                        _ => return,
+                    }
+                }
             }
         };
-        let (response, close) = match parsed {
-            Ok((request, close)) => {
+        let (response, close) = match (parsed, turn) {
+            (Ok(_), None) => return,
+            (Ok((request, close)), Some(turn)) => {
                 let (reply, answer) = oneshot::channel();
-                let response = match to.try_send(Incoming { request, reply }) {
+                let response = match to.try_send(Incoming { request, reply, turn }) {
                     Ok(()) => answer.await.unwrap_or_else(|_| Response::later(503)),
                     Err(_) => Response::later(503),
                 };
                 let close = close || response.close;
                 (response, close)
             }
-            Err(CodecError::BodyTooLarge) => (Response::empty(413), true),
-            Err(CodecError::HeadTooLarge) => (Response::empty(431), true),
-            Err(CodecError::Malformed) => (Response::empty(400), true),
+            (Err(CodecError::BodyTooLarge), _) => (Response::empty(413), true),
+            (Err(CodecError::HeadTooLarge), _) => (Response::empty(431), true),
+            (Err(CodecError::Malformed), _) => (Response::empty(400), true),
         };
         let bytes = encode_response(&response, close);
         match timeout(READ_TIMEOUT, stream.write_all(&bytes)).await {
@@ -718,6 +740,50 @@
         assert!(pool.idle.contains_key(&state));
     }
 
+    /// Thousands that come at once are read a few at a time, and all are answered in the end.
+    #[tokio::test]
+    async fn requests_that_come_together_are_read_a_few_at_a_time() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (to, mut from) = mpsc::channel(10 * READ_TOGETHER);
+        let (count, _open) = watch::channel(0);
+        tokio::spawn(serve(listener, usize::MAX, to, count));
+        let all = READ_TOGETHER + 50;
+        let client = Client::start(0, vec![]);
+        let calls: Vec<_> = (0..all)
+            .map(|_| {
+                let client = client.clone();
+                tokio::spawn(async move {
+                    let request = Request { method: Method::Get, target: "/".into(), body: vec![] };
+                    let until = Instant::now() + Duration::from_secs(60);
+                    client.call(address, request, until).await
+                })
+            })
+            .collect();
+        let mut held = Vec::new();
+        while held.len() < READ_TOGETHER {
+            held.push(from.recv().await.unwrap());
+        }
+        // Nobody else is read while these wait, however long that is.
+        for _ in 0..1000 {
+            tokio::task::yield_now().await;
+        }
+        assert!(from.try_recv().is_err());
+        let mut answered = 0;
+        while answered < all {
+            let incoming = match held.pop() {
+                Some(incoming) => incoming,
+                None => from.recv().await.unwrap(),
+            };
+            drop(incoming.turn);
+            let _ = incoming.reply.send(Response::empty(200));
+            answered += 1;
+        }
+        for call in calls {
+            assert_eq!(call.await.unwrap().map(|response| response.status), Ok(200));
+        }
+    }
+
     /// A call that a process decided before it stood still must not go out when it wakes.
     #[tokio::test]
     async fn a_call_whose_time_is_over_is_never_sent() {
--- a/src/node.rs
+++ b/src/node.rs
@@ -29,7 +29,7 @@
 use std::time::Duration;
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot, watch};
 use tokio::time::Instant;
 use troutspindle_protocol::ops;
 
@@ -1056,7 +1056,7 @@
         return Err(std::io::Error::other("histogram bounds"));
     };
     let mut replies: HashMap<u64, (oneshot::Sender<Response>, Need)> = HashMap::new();
-    let mut requests: Inbox<(u64, Request)> = Inbox::new(USER_QUEUE_MAX);
+    let mut requests: Inbox<(u64, Request, OwnedSemaphorePermit)> = Inbox::new(USER_QUEUE_MAX);
     let mut arrived: Vec<Incoming> = Vec::new();
     let mut next_ticket = FIRST_TICKET;
     let mut tick_at = Instant::now();
@@ -1089,13 +1089,13 @@
                         next_ticket += 1;
                         let need = need(&incoming.request);
                         replies.insert(next_ticket, (incoming.reply, need));
-                        if let Some((refused, _)) = requests.push(need, (next_ticket, incoming.request), now) {
+                        if let Some((refused, ..)) = requests.push(need, (next_ticket, incoming.request, incoming.turn), now) {
                             refuse(&mut replies, refused, requests.len());
                         }
                     }
                     match requests.pop(now) {
-                        Some(((ticket, request), false)) => Event::Http(ticket, request),
-                        Some(((ticket, _), true)) => {
+                        Some(((ticket, request, _), false)) => Event::Http(ticket, request),
+                        Some(((ticket, ..), true)) => {
                             refuse(&mut replies, ticket, requests.len());
                             continue;
                         }
