A new leader presumes scarcity until the cloud tells; bound counts what came

Change: a leader with a predecessor takes what it can't know for exhausted for up to 15 s, and reckons tasks on machines not heard yet as held. The bound is reckoned from work as it came, leader by leader.

--- a/crates/protocol/src/ops.rs
+++ b/crates/protocol/src/ops.rs
@@ -139,8 +139,8 @@
     pub ordinary: bool,
     pub held: f64,
     pub waiting: f64,
-    /// Machine-seconds of arrays that arrive in a second, on average.
-    pub arriving: f64,
+    /// Machine-seconds of arrays that came since this leadership began, as their run times are expected.
+    pub came: f64,
     pub floor: f64,
 }
 
--- a/crates/scarcity/src/lib.rs
+++ b/crates/scarcity/src/lib.rs
@@ -52,6 +52,9 @@
     /// Nothing more can be rented now: every kind refuses, the cloud is out, or controllers can hold no
     /// more machines.
     pub exhausted: bool,
+    /// That is not known, but taken to be so: a new leader has asked for nothing yet, and what a predecessor
+    /// kept for those below their floors would be gone by the time it knows.
+    pub presumed: bool,
 }
 
 impl Supply {
@@ -247,11 +250,13 @@
             ordinary > share(supply.ordinary, share_of) || needed > share(supply.all(), share_of)
         };
         let since = |at: Option<Duration>, holds: bool| holds.then(|| at.unwrap_or(now));
-        self.above = since(self.above, supply.exhausted && above(1.0));
-        self.below = since(self.below, !supply.exhausted || !above(LEAVE_BELOW));
+        let exhausted = supply.exhausted || supply.presumed;
+        self.above = since(self.above, exhausted && above(1.0));
+        self.below = since(self.below, !exhausted || !above(LEAVE_BELOW));
+        let enter = if supply.presumed { Duration::ZERO } else { ENTER_AFTER };
         let passed = |at: Option<Duration>, least: Duration| at.is_some_and(|at| now >= at + least);
         let turn = match self.began {
-            None if passed(self.above, ENTER_AFTER) => {
+            None if passed(self.above, enter) => {
                 self.began = Some(now);
                 Some(Turn::Began)
             }
--- a/crates/scarcity/src/tests.rs
+++ b/crates/scarcity/src/tests.rs
@@ -60,7 +60,7 @@
         demands in prop::collection::vec(any_demand(), 1..9),
         ordinary in 0u64..150, spot in 0u64..80, floor in 0.1f64..1.0,
     ) {
-        let supply = Supply { ordinary: ordinary * MACHINE, spot: spot * MACHINE, exhausted: true };
+        let supply = Supply { ordinary: ordinary * MACHINE, spot: spot * MACHINE, exhausted: true, presumed: false };
         let map: BTreeMap<usize, Demand> = demands.iter().copied().enumerate().collect();
         let floors = floors(&map, &supply, floor);
         let plain = plain_floors(&demands, &supply, floor);
@@ -96,7 +96,7 @@
 }
 
 fn full(exhausted: bool) -> Supply {
-    Supply { ordinary: 100 * MACHINE, spot: 0, exhausted }
+    Supply { ordinary: 100 * MACHINE, spot: 0, exhausted, presumed: false }
 }
 
 #[test]
@@ -176,3 +176,21 @@
     let tight = floors(&demands, &tight, 0.5);
     assert_eq!((tight["holds"], tight["waits"], tight["guest"]), (30 * MACHINE, 15 * MACHINE, 0));
 }
+
+/// A new leader that finds more asked for than there is goes on as its predecessor did, until the cloud tells
+/// otherwise.
+#[test]
+fn a_new_leader_presumes_what_its_predecessor_knew() {
+    let presumed = Supply { presumed: true, ..full(false) };
+    let mut scarcity = Scarcity::new(0.5);
+    assert_eq!(scarcity.look(&unfair(60 * MACHINE), &presumed, second(0)), Some(Turn::Began));
+    // It rents what it asks for, so that it was wrong.
+    let turns: Vec<_> =
+        (1..40).map(|s| scarcity.look(&unfair(60 * MACHINE), &full(false), second(s))).collect();
+    assert_eq!(turns.iter().flatten().collect::<Vec<_>>(), [&Turn::Ended]);
+    let mut scarcity = Scarcity::new(0.5);
+    assert_eq!(
+        scarcity.look(&unfair(0), &Supply { ordinary: 200 * MACHINE, ..presumed }, second(0)),
+        None
+    );
+}
--- a/crates/spindlectl/src/bound.rs
+++ b/crates/spindlectl/src/bound.rs
@@ -39,13 +39,17 @@
     slots: Vec<Slot>,
     ordinary: f64,
     spot: f64,
+    last: DemandLine,
     /// Whether each group is a service, and whether it uses ordinary machines alone.
     kinds: BTreeMap<Group, (bool, bool)>,
 }
 
 impl Day {
-    /// Takes in what a leader told at some second of the day.
+    /// Takes in what a leader told at some second of the day. What came of arrays is told since its leadership
+    /// began, so a line of a new leader counts from nothing.
     pub fn add(&mut self, at_s: f64, line: &DemandLine) {
+        let same = line.at_s >= self.last.at_s;
+        let before = std::mem::replace(&mut self.last, line.clone()).groups;
         self.ordinary = self.ordinary.max(line.ordinary);
         self.spot = self.spot.max(line.spot);
         let slot = (at_s / SLOT_S) as usize;
@@ -55,7 +59,11 @@
         let slot = &mut self.slots[slot];
         slot.lines += 1.0;
         for group in &line.groups {
-            let asked = if group.service { group.held + group.waiting } else { group.arriving };
+            let alike =
+                |other: &&GroupDemand| (&other.class, &other.team) == (&group.class, &group.team);
+            let before = before.iter().find(alike).filter(|_| same).map_or(0.0, |group| group.came);
+            let asked =
+                if group.service { group.held + group.waiting } else { group.came - before };
             let name = |group: &GroupDemand| (group.class.clone(), group.team.clone());
             let sums = slot.groups.entry(name(group)).or_default();
             sums.0 += asked;
@@ -66,11 +74,18 @@
         }
     }
 
-    /// What a group asked for and held in a slot, on average; where nobody told, as in the slot before.
+    /// What a group asked for and held in a slot, on average. Where nobody told, services are taken to be as in
+    /// the slot before, and of arrays nothing came.
     fn told(&self, slot: usize, group: &Group) -> (f64, f64) {
         let told = self.slots[..=slot].iter().rev().find(|slot| slot.lines > 0.0);
         let sums = told.and_then(|slot| Some((slot.lines, *slot.groups.get(group)?)));
-        sums.map_or((0.0, 0.0), |(lines, (asked, held))| (asked / lines, held / lines))
+        let (lines, (asked, held)) = sums.unwrap_or((1.0, (0.0, 0.0)));
+        let asked = match self.kinds[group] {
+            (true, _) => asked / lines,
+            (false, _) if self.slots[slot].lines > 0.0 => asked / SLOT_S,
+            _ => 0.0,
+        };
+        (asked, held / lines)
     }
 }
 
@@ -212,19 +227,21 @@
 mod tests {
     use super::*;
 
-    fn line(service: f64, arriving: f64) -> DemandLine {
-        let group = |class: &str, held: f64, arriving: f64| GroupDemand {
+    /// A line each five seconds; `came` is what came in all by then.
+    fn line(n: u32, service: f64, came: f64) -> DemandLine {
+        let group = |class: &str, held: f64, came: f64| GroupDemand {
             class: class.into(),
             team: "t".into(),
-            service: arriving == 0.0,
-            ordinary: arriving == 0.0,
+            service: class == "s",
+            ordinary: class == "s",
             held,
             waiting: 10.0,
-            arriving,
+            came,
             floor: 0.0,
         };
-        let groups = vec![group("s", service, 0.0), group("a", 5.0, arriving)];
-        DemandLine { ordinary: 30.0, spot: 10.0, groups, ..DemandLine::default() }
+        let groups = vec![group("s", service, 0.0), group("a", 5.0, came)];
+        let at_s = f64::from(n) * 5.0;
+        DemandLine { at_s, ordinary: 30.0, spot: 10.0, groups, ..DemandLine::default() }
     }
 
     /// Sixty asked of forty machines: two thirds each, of which the service's are ordinary ones. Alone the service
@@ -232,7 +249,10 @@
     #[test]
     fn the_bound_divides_what_there_is_evenly_and_knows_the_kinds() {
         let mut day = Day::default();
-        (0..100).for_each(|n| day.add(f64::from(n) * 5.0, &line(30.0, 20.0)));
+        // A second leader counts from nothing.
+        let came = |n: u32| f64::from(n % 50 + 1) * 100.0;
+        let told = |n: u32| DemandLine { at_s: f64::from(n % 50), ..line(n, 30.0, came(n)) };
+        (0..100).for_each(|n| day.add(f64::from(n) * 5.0, &told(n)));
         let bound = bound(&day).unwrap();
         assert!((bound.all - 2.0 / 3.0).abs() < 1e-6, "{bound:?}");
         let alone: Vec<f64> = bound.groups.iter().map(|g| (g.alone * 100.0).round()).collect();
@@ -246,27 +266,25 @@
     fn an_array_is_served_later_but_never_sooner() {
         let mut day = Day::default();
         // 100 machines' worth in the last of ten slots, of which 40 fit.
-        (0..40).for_each(|n| {
-            day.add(f64::from(n) * 5.0, &line(0.0, if n < 36 { 1e-9 } else { 100.0 }))
-        });
+        let came = |n: u32| 500.0 * f64::from(n.saturating_sub(35));
+        (0..40).for_each(|n| day.add(f64::from(n) * 5.0, &line(n, 0.0, came(n))));
         let late = solve(&day, &[&("a".into(), "t".into())]).unwrap();
         assert!((late - 0.4).abs() < 1e-3, "{late}");
         let mut day = Day::default();
-        (0..40).for_each(|n| {
-            day.add(f64::from(n) * 5.0, &line(0.0, if n < 4 { 100.0 } else { 1e-9 }))
-        });
+        let came = |n: u32| 500.0 * f64::from((n + 1).min(4));
+        (0..40).for_each(|n| day.add(f64::from(n) * 5.0, &line(n, 0.0, came(n))));
         let early = solve(&day, &[&("a".into(), "t".into())]).unwrap();
         assert!((early - 1.0).abs() < 1e-3, "{early}");
     }
 
     #[test]
     fn a_log_line_is_read_as_the_controllers_write_it() {
-        let json = serde_json::to_string(&line(30.0, 20.0)).unwrap();
+        let json = serde_json::to_string(&line(3, 30.0, 20.0)).unwrap();
         let text = format!(
             "12.01 n-0 2026-09-21T14:13:20.058006Z  INFO what is asked for demand={json}\nnoise\n"
         );
         let (before, rest) = text.lines().next().unwrap().split_once(DEMAND_FIELD).unwrap();
         assert_eq!(clock_s(before), Some(14.0 * 3600.0 + 13.0 * 60.0 + 20.058006));
-        assert_eq!(serde_json::from_str::<DemandLine>(rest).unwrap(), line(30.0, 20.0));
+        assert_eq!(serde_json::from_str::<DemandLine>(rest).unwrap(), line(3, 30.0, 20.0));
     }
 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -144,6 +144,9 @@
 pub const LEAST_WIDTH_S: f64 = 600.0;
 /// Seconds. What a task is taken to run at the least where work is reckoned up: owners may say 0.
 pub const RUN_LEAST_S: f64 = 1.0;
+/// For how long at the most a new leader takes room to be scarce, where more is asked for than there is and the
+/// cloud has told it nothing yet: its first list and its first rentals take so long.
+pub const PRESUMED_FOR: Duration = Duration::from_secs(15);
 /// Pause between two rounds of moves off what is drained.
 pub const DRAIN_EVERY: Duration = Duration::from_secs(1);
 /// Seconds. A task that saves is told so much earlier than its time is up: for the command and its report.
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -840,6 +840,7 @@
                 self.machines.values_mut().for_each(Machine::entries_changed);
             }
             CloudEvent::Hired(kind, machines) => {
+                self.shortage.cloud_told();
                 if let Some((_, most)) = self.scarce.get_mut(&kind) {
                     *most *= CAPACITY_GROWTH;
                     if *most > HIRE_MAX {
@@ -853,6 +854,7 @@
                 tracing::info!(count = machines.len(), %zone, spot = kind.spot, "rented");
             }
             CloudEvent::Refused(kind) => {
+                self.shortage.cloud_told();
                 let zone = &self.settings.platform.params.zones[kind.zone];
                 tracing::info!(%zone, spot = kind.spot, "rental refused");
                 self.scarce.insert(kind, (now + CAPACITY_REST, CAPACITY_PROBE));
@@ -1546,7 +1548,16 @@
         let held = u32::try_from(self.machines.len()).unwrap_or(u32::MAX);
         let rents_left = self.most_machines.saturating_sub(held.saturating_add(coming_up));
         self.look_for_shortage(
-            &live, &bins, &sizes, &team_room, &silent, may_rent, rents_left, cloud, now,
+            &live,
+            &bins,
+            &sizes,
+            &team_room,
+            &silent,
+            &unsure_room,
+            may_rent,
+            rents_left,
+            cloud,
+            now,
         );
 
         let mut asks: Vec<Ask> = Vec::new();
--- a/src/foreman/shortage.rs
+++ b/src/foreman/shortage.rs
@@ -22,11 +22,19 @@
     demands: BTreeMap<Group, Demand>,
     supply: Supply,
     waits: Causes,
+    /// The cloud has given or refused something to this leader.
+    told: bool,
+    /// Machine-seconds of each group's arrays that came under this leader, and groups of services.
+    came: BTreeMap<Group, f64>,
+    services: BTreeSet<Group>,
 }
 
 impl Shortage {
     pub(super) fn new(floor: f64) -> Shortage {
         Shortage {
+            told: false,
+            came: BTreeMap::new(),
+            services: BTreeSet::new(),
             scarcity: Scarcity::new(floor),
             classes: HashMap::new(),
             demands: BTreeMap::new(),
@@ -35,6 +43,11 @@
         }
     }
 
+    /// The cloud gave or refused something.
+    pub(super) fn cloud_told(&mut self) {
+        self.told = true;
+    }
+
     pub(super) fn is_scarce(&self) -> bool {
         self.scarcity.since().is_some()
     }
@@ -90,7 +103,7 @@
     }
 
     /// Looks at what all jobs that may run ask for, and at what there is. `room_left` is what each team may
-    /// still use, `may_rent` whether this leader knows enough to rent at all, and `most` how many more
+    /// still use, `unsure` the room on machines whose tasks are not all known yet, `may_rent` whether this leader knows enough to rent at all, and `most` how many more
     /// machines controllers can hold.
     #[allow(clippy::too_many_arguments)]
     pub(super) fn look_for_shortage(
@@ -100,6 +113,7 @@
         sizes: &[Amount],
         room_left: &[Amount],
         silent: &[bool],
+        unsure: &Amount,
         may_rent: bool,
         most: u32,
         cloud: &CloudCore,
@@ -112,6 +126,8 @@
         let since = self.since_began(now);
         let now_ms = self.wall.ms(now);
         let mut demands: BTreeMap<Group, Demand> = BTreeMap::new();
+        // Of what waits, that which a predecessor may have started.
+        let mut hidden: BTreeMap<Group, Room> = BTreeMap::new();
         let learned = self.settings.operator.estimates.learn;
         for (id, job) in live {
             let group = self.group(job);
@@ -130,8 +146,12 @@
             demand.ordinary = !job.spec.spot;
             demand.held += each * held;
             demand.waiting += each * waiting;
+            if work.old && !unsure.is_zero() {
+                *hidden.entry(group).or_default() += each * waiting;
+            }
             if job.spec.shape == Shape::Service {
                 demand.offered += each * (held + waiting);
+                self.shortage.services.insert(group);
                 continue;
             }
             if !std::mem::replace(&mut work.counted, true) {
@@ -139,9 +159,18 @@
                 let tasks = job.spec.tasks - job.done_count().min(job.spec.tasks);
                 let work = (each * tasks) as f64 * run_s / MACHINE as f64;
                 self.shortage.scarcity.came(&group, work, age, since);
+                // What came under a predecessor it has told of.
+                if age <= since || self.token.0 <= 1 {
+                    *self.shortage.came.entry(group).or_default() += work;
+                }
             }
         }
+        let all_hidden = hidden.values().sum::<Room>().max(1) as f64;
+        let part = (room(unsure, &largest) as f64 / all_hidden).min(1.0);
         for (group, demand) in &mut demands {
+            let seen_soon = hidden.get(group).map_or(0, |room| (*room as f64 * part) as Room);
+            demand.held += seen_soon;
+            demand.waiting -= seen_soon;
             let arriving = self.shortage.scarcity.arriving(group, since);
             demand.offered += arriving;
             let limit = room_left.get(group.1).map_or(0, |left| room(left, &largest));
@@ -152,6 +181,7 @@
         }
         let mut supply = Supply {
             exhausted: may_rent && (most == 0 || self.is_exhausted(silent, cloud)),
+            presumed: !self.shortage.told && self.token.0 > 1 && since < PRESUMED_FOR,
             ..Supply::default()
         };
         for bin in bins {
@@ -326,15 +356,14 @@
         let shortage = &self.shortage;
         let group = |(group, demand): (&Group, &Demand)| {
             let [class, team] = self.group_name(group);
-            let arriving = shortage.scarcity.arriving(group, since);
             GroupDemand {
                 class,
                 team,
-                service: arriving == 0,
+                service: shortage.services.contains(group),
                 ordinary: demand.ordinary,
                 held: machines(demand.held),
                 waiting: machines(demand.waiting),
-                arriving: machines(arriving),
+                came: shortage.came.get(group).map_or(0.0, |came| came.round()),
                 floor: machines(shortage.scarcity.standing(group).map_or(0, |s| s.floor)),
             }
         };
