What waited long is still owed when nothing more comes; an overload leaves nothing behind

Change: a group needs at least what works its backlog off in twice its aim at the end. A test of the world makes each event cost up to 0.4 s and lets go: all replicas are back 20 s later, and all jobs end. spindlectl bound ignores a leader that has been replaced.

--- a/crates/protocol/src/ops.rs
+++ b/crates/protocol/src/ops.rs
@@ -147,6 +147,8 @@
 /// The line `demand` of the log, whose field of that name is this as JSON.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DemandLine {
+    /// The leadership that tells; one that has ended may go on telling for a moment.
+    pub token: u64,
     /// Seconds since this leadership began.
     pub at_s: f64,
     /// Machines that are up or booting.
--- a/crates/spindlectl/src/bound.rs
+++ b/crates/spindlectl/src/bound.rs
@@ -48,7 +48,10 @@
     /// Takes in what a leader told at some second of the day. What came of arrays is told since its leadership
     /// began, so a line of a new leader counts from nothing.
     pub fn add(&mut self, at_s: f64, line: &DemandLine) {
-        let same = line.at_s >= self.last.at_s;
+        if line.token < self.last.token {
+            return;
+        }
+        let same = line.token == self.last.token;
         let before = std::mem::replace(&mut self.last, line.clone()).groups;
         self.ordinary = self.ordinary.max(line.ordinary);
         self.spot = self.spot.max(line.spot);
@@ -251,8 +254,10 @@
         let mut day = Day::default();
         // A second leader counts from nothing.
         let came = |n: u32| f64::from(n % 50 + 1) * 100.0;
-        let told = |n: u32| DemandLine { at_s: f64::from(n % 50), ..line(n, 30.0, came(n)) };
+        let told = |n: u32| DemandLine { token: u64::from(n / 50), ..line(n, 30.0, came(n)) };
         (0..100).for_each(|n| day.add(f64::from(n) * 5.0, &told(n)));
+        // The first has not noticed yet.
+        day.add(300.0, &DemandLine { token: 0, ..line(60, 30.0, 1e6) });
         let bound = bound(&day).unwrap();
         assert!((bound.all - 2.0 / 3.0).abs() < 1e-6, "{bound:?}");
         let alone: Vec<f64> = bound.groups.iter().map(|g| (g.alone * 100.0).round()).collect();
--- a/src/foreman/shortage.rs
+++ b/src/foreman/shortage.rs
@@ -126,6 +126,8 @@
         let since = self.since_began(now);
         let now_ms = self.wall.ms(now);
         let mut demands: BTreeMap<Group, Demand> = BTreeMap::new();
+        // Machine-seconds that are left of each group's arrays, over the time that they may take.
+        let mut late: BTreeMap<Group, f64> = BTreeMap::new();
         // Of what waits, that which a predecessor may have started.
         let mut hidden: BTreeMap<Group, Room> = BTreeMap::new();
         let learned = self.settings.operator.estimates.learn;
@@ -154,6 +156,9 @@
                 self.shortage.services.insert(group);
                 continue;
             }
+            let within_s = self.settings.finish_within(&job.spec.class).unwrap_or(DONE_WITHIN_S);
+            *late.entry(group).or_default() +=
+                (each * (held + waiting)) as f64 * run_s / (within_s * LATE_WITHIN);
             if !std::mem::replace(&mut work.counted, true) {
                 let age = Duration::from_millis(now_ms.saturating_sub(job.since_ms()));
                 let tasks = job.spec.tasks - job.done_count().min(job.spec.tasks);
@@ -172,7 +177,9 @@
             demand.held += seen_soon;
             demand.waiting -= seen_soon;
             let arriving = self.shortage.scarcity.arriving(group, since);
-            demand.offered += arriving;
+            // What has waited long is still owed when nothing more comes.
+            let late = late.get(group).map_or(0, |late| *late as Room);
+            demand.offered += arriving.max(late);
             let limit = room_left.get(group.1).map_or(0, |left| room(left, &largest));
             demand.waiting = demand.waiting.min(limit);
         }
@@ -368,6 +375,7 @@
             }
         };
         let line = DemandLine {
+            token: self.token.0,
             at_s: since.as_secs_f64(),
             ordinary: machines(shortage.supply.ordinary),
             spot: machines(shortage.supply.spot),
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -185,6 +185,8 @@
     UserAnswer(u64, u64, Response),
     Restart(usize),
     LeaseCheck,
+    /// The node gets round to what is first in its line.
+    Next(usize),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -226,6 +228,8 @@
     Deaf(usize, bool),
     /// The node is ended and comes back with the new version.
     Upgrade(usize),
+    /// Each event takes every node so many milliseconds, and what comes meanwhile waits in line.
+    Busy(u64),
     /// The state service's limits become those that settings name as the next ones.
     Limits,
 }
@@ -327,6 +331,9 @@
     asleep: Vec<Due>,
     unsent: Vec<(usize, Vec<Effect>)>,
     held: Vec<Due>,
+    /// Milliseconds that each event takes, and what waits for each node.
+    cost: u64,
+    lines: [VecDeque<Due>; NODES],
     broken: Vec<String>,
     starts: u64,
     /// Transactions that went beyond the limits.
@@ -382,6 +389,8 @@
             asleep: Vec::new(),
             unsent: Vec::new(),
             held: Vec::new(),
+            cost: 0,
+            lines: Default::default(),
             broken: Vec::new(),
             starts: 0,
             too_large: 0,
@@ -471,7 +480,32 @@
                 return self.asleep.push(due);
             }
         }
+        if let Due::Tick(node)
+        | Due::Node(node, ..)
+        | Due::Hello(node, ..)
+        | Due::UserAsks(node, ..) = &due
+            && (self.cost > 0 || !self.lines[*node].is_empty())
+        {
+            let node = *node;
+            self.lines[node].push_back(due);
+            if self.lines[node].len() == 1 {
+                self.at(self.t + self.cost, Due::Next(node));
+            }
+            return;
+        }
+        self.handle(due);
+    }
+
+    fn handle(&mut self, due: Due) {
         match due {
+            Due::Next(node) => {
+                if let Some(due) = self.lines[node].pop_front() {
+                    self.handle(due);
+                }
+                if !self.lines[node].is_empty() {
+                    self.at(self.t + self.cost, Due::Next(node));
+                }
+            }
             Due::Tick(node) => {
                 self.tell(node, Event::Tick);
                 self.at(self.t + 40, Due::Tick(node));
@@ -1349,6 +1383,7 @@
                 self.old[node] = false;
                 self.fault(Fault::Crash(node));
             }
+            Fault::Busy(cost) => self.cost = cost,
             Fault::Limits => self.limits = (4, 2048),
             Fault::TakeSpot => {
                 for worker in self.workers.values_mut().filter(|w| w.spot) {
@@ -2135,3 +2170,37 @@
         assert!(done >= 0.5 && up >= 0.5, "{faults:?}: done {done}, up {up}");
     }
 }
+
+/// More to do than all controllers together can: leases of workers and leaders run out, everybody asks again. Once
+/// the cause is gone nothing of it may stay: a leader, all replicas and the jobs that waited are back in a bounded time.
+#[test]
+fn an_overload_leaves_nothing_behind() {
+    for (seed, cost) in [(2, 200), (3, 400)] {
+        let mut world = World::new(seed);
+        for n in 0..4 {
+            world.submit_at(3000, n, true, None);
+        }
+        for n in 4..24 {
+            world.submit_at(n * 3000, n, false, None);
+        }
+        for (t, fault) in [
+            (30_000, Fault::Busy(cost)),
+            (30_000, Fault::Polls(true)),
+            (70_000, Fault::Busy(0)),
+            (70_000, Fault::Polls(false)),
+        ] {
+            world.at(t, Due::Fault(fault));
+        }
+        world.run(69_000);
+        let longest = world.lines.iter().map(VecDeque::len).max().unwrap();
+        let down = (0..4).any(|n| world.running(n) < 4);
+        let wait_ms = longest as u64 * cost;
+        assert!(wait_ms > 3000 || down, "cost {cost}: it was no overload, {longest} in line");
+        world.run(90_000);
+        let up: Vec<usize> = (0..4).map(|n| world.running(n)).collect();
+        assert_eq!(up, [4; 4], "cost {cost}: 20 s after it");
+        world.run(160_000);
+        assert!(world.broken.is_empty(), "cost {cost}: {:#?}", world.broken);
+        assert!((4..24).all(|n| world.jobs[&n].told_done), "cost {cost}");
+    }
+}
