--- a/src/constants.rs
+++ b/src/constants.rs
@@ -142,8 +142,6 @@
 
 /// Seconds of repeated work by which a task of an elastic job is spared that is no wider than its least.
 pub const LEAST_WIDTH_S: f64 = 600.0;
-/// Seconds. What a task is taken to run at the least where work is reckoned up: owners may say 0.
-pub const RUN_LEAST_S: f64 = 1.0;
 /// Seconds. Within which arrays are to be done that have no aim at their end, where work is reckoned up.
 pub const DONE_WITHIN_S: f64 = 300.0;
 /// Times such an aim within which a backlog is to be worked off while room is scarce: within the aim itself it would
@@ -151,7 +149,7 @@
 pub const LATE_WITHIN: f64 = 3.0;
 /// Share of what arrays need that is reckoned while room is scarce: what they miss now they can have later, what a
 /// service misses is lost.
-pub const ARRAYS_NOW: f64 = 0.75;
+pub const ARRAYS_NOW: f64 = 0.7;
 /// For how long at the most a new leader takes room to be scarce, where more is asked for than there is and the
 /// cloud has told it nothing yet: its first list and its first rentals take so long.
 pub const PRESUMED_FOR: Duration = Duration::from_secs(15);
--- a/src/foreman/shortage.rs
+++ b/src/foreman/shortage.rs
@@ -136,7 +136,7 @@
             let Some(team) = self.settings.platform.params.teams.get(group.1) else { continue };
             let guest = team.guarantee().is_zero();
             let each = room(&job.need, &largest);
-            let run_s = self.run_s(id, job, learned).max(RUN_LEAST_S);
+            let run_s = self.run_s(id, job, learned) + STAGE_MORE.as_secs_f64();
             let Some(work) = self.work.get_mut(*id) else { continue };
             work.group = Some(group);
             if work.evidence.mistaken() {
@@ -262,7 +262,8 @@
         }
         let group = self.group(job);
         let spec = &job.spec;
-        let run_s = self.run_s(id, job, self.settings.operator.estimates.learn).max(RUN_LEAST_S);
+        let run_s =
+            self.run_s(id, job, self.settings.operator.estimates.learn) + STAGE_MORE.as_secs_f64();
         let tasks = spec.tasks.saturating_sub(job.done_count()) as f64;
         let left =
             if spec.shape == Shape::Service { 0.0 } else { tasks * run_s * ask.need.cpu as f64 };
