The last machines that can be held are large ones; groups of jobs of both kinds use both

A group of which some jobs may use spot machines was taken for one that may not, or the reverse, by whichever job came last. Change: below an eighth of what there is, offers are ordered by how much they hold; a group is ordinary only if all its jobs are.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -230,6 +230,8 @@
 pub const PLAN_IDLE: Duration = Duration::from_millis(1000);
 /// Shortest pause between two planning rounds.
 pub const PLAN_EVERY: Duration = Duration::from_millis(120);
+/// Where fewer machines can still be held than one for so many that there are, larger ones go first.
+pub const RENTS_FEW: usize = 8;
 /// Count. A pass is followed by a pause so many times as long as it took, if that is more.
 pub const PLAN_PAUSE: u32 = 4;
 /// Starts a second of least urgent tasks: at first, and at the least and most. Ten keep an array
--- a/src/foreman/shortage.rs
+++ b/src/foreman/shortage.rs
@@ -143,9 +143,9 @@
                 continue;
             }
             let (held, waiting) = (work.placed.len() as u64, work.waiting(job));
-            let demand = demands.entry(group).or_default();
-            demand.guest = guest;
-            demand.ordinary = !job.spec.spot;
+            let alone = Demand { ordinary: true, guest, ..Demand::default() };
+            let demand = demands.entry(group).or_insert(alone);
+            demand.ordinary &= !job.spec.spot;
             demand.held += each * held;
             demand.waiting += each * waiting;
             if work.old && !unsure.is_zero() {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -4,6 +4,7 @@
 //! service, and gets placements and wishes for new machines. `docs/design.md` says which parts
 //! are the paper's.
 
+use crate::constants::RENTS_FEW;
 use crate::ids::Amount;
 use crate::shelves::{Place, Shelves};
 use crate::wire::Urgency;
@@ -417,11 +418,12 @@
     }
 
     /// Opens a bin for the cheapest offer that the ask may use; among equals, in the zone that
-    /// holds fewest machines.
+    /// holds fewest machines. Where few more machines can be held, those that hold most come first.
     fn rent(&mut self, ask: &Ask) -> Option<usize> {
         if self.rents_left == 0 {
             return None;
         }
+        let few = (self.rents_left as usize) < self.bins.len() / RENTS_FEW;
         let choice = (0..self.offers.len())
             .filter(|&i| {
                 let offer = &self.offers[i];
@@ -437,8 +439,13 @@
             })
             .min_by(|&a, &b| {
                 let (a, b) = (&self.offers[a], &self.offers[b]);
+                let holds = |o: &Offer| if few { copies(&o.size, &ask.need) } else { 0 };
                 let per = |o: &Offer| o.price / copies(&o.size, &ask.need).max(1) as f64;
-                per(a).total_cmp(&per(b)).then(a.held.cmp(&b.held)).then(a.zone.cmp(&b.zone))
+                holds(b)
+                    .cmp(&holds(a))
+                    .then(per(a).total_cmp(&per(b)))
+                    .then(a.held.cmp(&b.held))
+                    .then(a.zone.cmp(&b.zone))
             })?;
         let offer = &mut self.offers[choice];
         offer.most -= 1;
@@ -760,6 +767,41 @@
         assert!(plan.short.is_empty());
     }
 
+    /// Where controllers can hold few more machines, one that holds more goes before one that is cheaper for
+    /// what it holds; beyond what they can hold nothing is rented.
+    #[test]
+    fn the_last_machines_that_can_be_held_are_large_ones() {
+        let unlimited = Amount { cpu: u64::MAX, gpu: 0, ram: u64::MAX };
+        let large = Offer { size: offer(0, false, 0.0).size.times(4), ..offer(0, false, 9.0) };
+        let small = Offer { most: 1000, ..offer(0, true, 0.3) };
+        let full = Bin {
+            index: 0,
+            zone: 0,
+            flavor: 0,
+            spot: false,
+            free: Amount::default(),
+            basket: Some(Basket::Light),
+            ready: true,
+            images: Images::default(),
+            vacated: false,
+        };
+        let hires = |rents_left: u32| {
+            let input = Input {
+                bins: (0..RENTS_FEW as u64 * 3).map(|n| Bin { index: n, ..full.clone() }).collect(),
+                asks: vec![ask(200, 4.0)],
+                team_room: vec![unlimited],
+                offers: vec![small.clone(), large.clone()],
+                heavy_cap: 1,
+                rents_left,
+            };
+            plan(input).hires
+        };
+        assert_eq!(hires(0), [0, 0]);
+        assert_eq!(hires(2), [0, 2]);
+        let plenty = hires(10_000);
+        assert!(plenty[0] > 0 && plenty[1] == 0, "{plenty:?}");
+    }
+
     #[test]
     fn one_team_at_its_limit_neither_runs_nor_rents() {
         let input = Input {
