A leader of many machines that falls behind sends its orders with answers to reports

Cause: with 8,202 machines to be had, 3,000 came up at once; each start was a call of its own, which opens a connection and costs several times what an answer does, and the leader lost its lease three times at 56 to 72 s. Change: while a leader of more than half of what it can hold is behind, at most 16 calls to workers are under way.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -14,6 +14,9 @@
 pub const KEPT_SOCKET_SHARE: f64 = 0.03;
 /// Share of the platform's socket limit for calls to workers under way, however many connections are open.
 pub const DIRECT_SOCKET_LEAST: f64 = 0.04;
+/// Count. Calls to workers under way at the most while a leader of many machines is behind: a call opens a connection
+/// and costs several times what an answer to a report does, which carries the same orders some seconds later.
+pub const DIRECT_BEHIND: usize = 16;
 /// Shares of public sockets that machines take up from which on a leader sends its users to other
 /// controllers, and below which it takes them again.
 pub const CROWDED_SHARE: f64 = 0.65;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -457,6 +457,11 @@
         self.low_starts.set_rate(self.low_rate, now);
     }
 
+    /// Whether this process fell behind a moment ago.
+    pub fn is_behind(&self, now: Instant) -> bool {
+        self.behind_at.is_some_and(|at| now < at + BEHIND_FOR)
+    }
+
     /// Told how long the last event took to handle. Passes take a bounded share of the processor, however
     /// much waits: else they leave no time for what they decide, nor for the leader's lease.
     pub fn took(&mut self, took: Duration, now: Instant) {
--- a/src/foreman/lost.rs
+++ b/src/foreman/lost.rs
@@ -14,7 +14,7 @@
     /// job, of which something may run there. What is cut off with its zone is waited for, and
     /// nobody is given up by a process that falls behind itself.
     pub(super) fn give_up_lost(&mut self, cut_off: &[bool], cache: &Cache, now: Instant) {
-        if self.behind_at.is_some_and(|at| now < at + BEHIND_FOR) {
+        if self.is_behind(now) {
             return;
         }
         let late = self.late_after();
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -83,6 +83,12 @@
         self.now
     }
 
+    /// Whether so many machines are enough to keep a leader busy by themselves. A small fleet that finds its leader
+    /// late has another cause: a slow controller, a burst.
+    pub fn is_large(&self, machines: usize) -> bool {
+        machines as f64 > f64::from(self.fixed) * CEILING_LEAST
+    }
+
     /// One look, with so many machines held, and whether this process was late. Where half of the looks are, nothing
     /// more is rented; afterwards the ceiling rises again, a little at a time.
     pub fn look(&mut self, machines: u32, late: bool, now: Instant) {
@@ -92,8 +98,7 @@
             return;
         }
         let behind = self.late * 2 > self.looks;
-        // A small fleet that finds its leader late has another cause: a slow controller, a burst.
-        if behind && f64::from(machines) > f64::from(self.fixed) * CEILING_LEAST {
+        if behind && self.is_large(machines as usize) {
             if machines < self.now {
                 tracing::info!(machines, "falls behind, rents no more than there are");
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -820,8 +820,12 @@
             Some(foreman) => {
                 foreman.pace(late, now);
                 foreman.most_machines = self.ceiling.most();
-                foreman.most_direct = self.sockets.ours(self.open).1;
-                foreman.machines.len()
+                let machines = foreman.machines.len();
+                let free = self.sockets.ours(self.open).1;
+                // Orders that wait go with the answers to reports, which cost a fraction of a call.
+                let behind = foreman.is_behind(now) && self.ceiling.is_large(machines);
+                foreman.most_direct = if behind { free.min(DIRECT_BEHIND) } else { free };
+                machines
             }
             None => 0,
         };
