--- a/src/node.rs
+++ b/src/node.rs
@@ -1281,6 +1281,44 @@
         assert!(up(true, &[there, (true, 100)]), "one has lost the store");
     }
 
+    /// Thousands of machines that came up at once, each start a call of its own, cost a leader its lease.
+    #[test]
+    fn a_leader_of_many_machines_that_is_behind_calls_few_of_them() {
+        let now = Instant::now();
+        let settings = Arc::new(crate::settings::plain(r#"[{"name":"t","cpus_max":8.0}]"#));
+        let wall = Wall { at: now, ms: 5 };
+        let mut node = Node::new(settings.clone(), 1, wall).unwrap();
+        node.state.cache.flavors.0 = vec![crate::settings::plain_flavor()];
+        let most_direct = |node: &mut Node, machines: u32, behind: bool| {
+            let cache = &node.state.cache;
+            let token = Token(1);
+            let mut foreman = Foreman::new(token, Revision(2), settings.clone(), cache, wall, now);
+            for n in 0..machines {
+                let report = Report {
+                    machine: MachineId::new(&format!("i-{n}")),
+                    address: "127.0.0.1:9000".into(),
+                    flavor: "f".into(),
+                    zone: "a".into(),
+                    spot: false,
+                    session: 1,
+                    seq: 1,
+                    token,
+                    notice_s: None,
+                    tasks: Vec::new(),
+                };
+                foreman.on_report(&report, cache, now);
+            }
+            foreman.pace(if behind { LATE * 2 } else { Duration::ZERO }, now);
+            node.foreman = Some(foreman);
+            node.look_at_limits(now);
+            node.foreman.as_ref().map_or(0, |foreman| foreman.most_direct)
+        };
+        let many = node.ceiling.most() * 3 / 4;
+        assert_eq!(most_direct(&mut node, many, true), DIRECT_BEHIND);
+        assert!(most_direct(&mut node, many, false) > DIRECT_BEHIND);
+        assert!(most_direct(&mut node, 9, true) > DIRECT_BEHIND);
+    }
+
     /// Users find no path there, whatever they show; whoever has the key and asks the wrong controller is
     /// sent on.
     #[test]
