Reread: one piece says how long a task keeps its room

Need: the reckoning of a task's time stood twice, in what groups need and in the order of what is owed. Change: task_s; behaviour as it was.

--- a/src/foreman/shortage.rs
+++ b/src/foreman/shortage.rs
@@ -93,6 +93,11 @@
         Some((*class, self.team_of(&job.spec.team)))
     }
 
+    /// Seconds that a task of the job keeps its room, with what lies between two tasks.
+    fn task_s(&self, id: &JobId, job: &LiveJob) -> f64 {
+        self.run_s(id, job, self.settings.operator.estimates.learn) + STAGE_MORE.as_secs_f64()
+    }
+
     /// Whether nothing more can be rented now, as far as refusals tell.
     fn is_exhausted(&self, silent: &[bool], cloud: &CloudCore) -> bool {
         let mut kinds = self.flavors.iter().enumerate().flat_map(|(flavor, info)| {
@@ -130,13 +135,12 @@
         let mut late: BTreeMap<Group, f64> = BTreeMap::new();
         // Of what waits, that which a predecessor may have started.
         let mut hidden: BTreeMap<Group, Room> = BTreeMap::new();
-        let learned = self.settings.operator.estimates.learn;
         for (id, job) in live {
             let group = self.group(job);
             let Some(team) = self.settings.platform.params.teams.get(group.1) else { continue };
             let guest = team.guarantee().is_zero();
             let each = room(&job.need, &largest);
-            let run_s = self.run_s(id, job, learned) + STAGE_MORE.as_secs_f64();
+            let run_s = self.task_s(id, job);
             let Some(work) = self.work.get_mut(*id) else { continue };
             work.group = Some(group);
             if work.evidence.mistaken() {
@@ -262,8 +266,7 @@
         }
         let group = self.group(job);
         let spec = &job.spec;
-        let run_s =
-            self.run_s(id, job, self.settings.operator.estimates.learn) + STAGE_MORE.as_secs_f64();
+        let run_s = self.task_s(id, job);
         let tasks = spec.tasks.saturating_sub(job.done_count()) as f64;
         let left =
             if spec.shape == Shape::Service { 0.0 } else { tasks * run_s * ask.need.cpu as f64 };
