A tick looks at the machines of which something was heard, a pass and a watch once at all

Cause: some 230 looks at all machines a second; done tasks of each job written out anew at each tick to see whether they were due; all tasks added up at each pass for what makes way, whether or not anything waits. Change: orders owed are looked for at machines heard of since (all after a pass or a watch); records and completions due stand in sets; one survey serves a pass, one a watch; records of gone machines by one walk along both lists; done tasks counted as they are set; sizes of waiting writes reckoned once.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -71,6 +71,45 @@
     Do(Orders),
 }
 
+/// What is to be sent straight to a machine.
+enum Owed {
+    Nothing,
+    /// Something, after a pause.
+    Later,
+    Call(SocketAddr, Direct),
+}
+
+impl Owed {
+    fn to(machine: &mut Machine, token: Token, late: Duration, now: Instant) -> Owed {
+        let Some(address) = machine.address else { return Owed::Nothing };
+        if machine.direct_in_flight || machine.life == Life::Booting {
+            return Owed::Nothing;
+        }
+        if now < machine.direct_after {
+            return if machine.owed { Owed::Later } else { Owed::Nothing };
+        }
+        let call = |session: u64, orders: Vec<Order>| {
+            Owed::Call(address, Direct::Do(Orders { token, session: Some(session), orders }))
+        };
+        if machine.session == 0 {
+            // Few leases ever expire, so most machines are in their first session and confirm
+            // themselves with this one answer. Any other refuses, and its refusal tells the session:
+            // with hundreds of machines a question before costs a take-over most of a second.
+            return if machine.confirmed { Owed::Nothing } else { call(FIRST_SESSION, Vec::new()) };
+        }
+        let orders = if machine.owed { machine.starts_and_stops() } else { Vec::new() };
+        machine.owed = !orders.is_empty();
+        if !orders.is_empty() || !machine.confirmed {
+            call(machine.session, orders)
+        } else if machine.lent || machine.silent_for(now) > late {
+            // Its answer will show that it is in our reach again, or that it lives.
+            Owed::Call(address, Direct::Status)
+        } else {
+            Owed::Nothing
+        }
+    }
+}
+
 /// What the leader knows of a live job's tasks beyond the store's record.
 #[derive(Debug, Default)]
 struct Work {
@@ -159,6 +198,28 @@
     left: u32,
 }
 
+/// What all machines together show.
+#[derive(Debug, Default)]
+struct Survey {
+    /// By zone: those that are up, and of those the ones heard of late.
+    up: Vec<usize>,
+    heard: Vec<usize>,
+    booting: bool,
+    /// Some worker did not answer a question; some machine failed several jobs.
+    asked_in_vain: bool,
+    failing: bool,
+    /// When the newest of those that are up was rented.
+    newest: Option<Instant>,
+}
+
+impl Survey {
+    /// Whether a machine that was rented later than this one is up.
+    fn overtaken(&self) -> impl Fn(&Machine) -> bool + use<> {
+        let newest = self.newest;
+        move |machine| newest.is_some_and(|at| at > machine.rented)
+    }
+}
+
 /// Ranks of machines within a zone: the lowest free one is given to the next.
 #[derive(Debug, Default)]
 struct Ranks {
@@ -179,6 +240,10 @@
     ranks: Vec<Ranks>,
     /// Ordered, so that equal events have equal effects.
     work: BTreeMap<JobId, Work>,
+    /// Machines that came up and whose records are not committed yet, and jobs with tasks that are reported done
+    /// and not committed; those that no longer are leave at the next look.
+    unrecorded: BTreeSet<MachineId>,
+    completing: BTreeSet<JobId>,
     /// Jobs that another controller told users to be cancelled, while the cache still has them
     /// as live: nothing of theirs is started any more.
     told_cancelled: HashSet<JobId>,
@@ -215,6 +280,10 @@
     /// How many machines controllers can hold, and how many calls to workers may be under way at once.
     pub most_machines: u32,
     pub most_direct: usize,
+    /// How many are; and machines to which something may be owed, or whether that may be any.
+    under_way: usize,
+    look_at: BTreeSet<MachineId>,
+    look_all: bool,
     /// From which machine on calls are sent next, where not all may be under way at once.
     direct_from: Option<MachineId>,
     pub wall: Wall,
@@ -263,6 +332,8 @@
             machines: BTreeMap::new(),
             ranks,
             work: BTreeMap::new(),
+            unrecorded: BTreeSet::new(),
+            completing: BTreeSet::new(),
             told_cancelled: HashSet::new(),
             held: HashMap::new(),
             images: HashMap::new(),
@@ -283,6 +354,9 @@
             waits: BTreeMap::new(),
             most_machines: u32::MAX,
             most_direct: usize::MAX,
+            under_way: 0,
+            look_at: BTreeSet::new(),
+            look_all: true,
             direct_from: None,
             wall,
             carried: HashMap::new(),
@@ -407,7 +481,8 @@
         // Late enough for a worker to find a controller that hears it, and soon enough for the bar
         // to be acknowledged before its lease is over.
         let quiet = self.settings.worker_lease() * 3 / 4;
-        let cut_off = self.cut_off_zones(now);
+        let survey = self.survey(now);
+        let cut_off = self.cut_off_zones(&survey, now);
         let (mut barred, mut lent) = (Vec::new(), Vec::new());
         let every = self.settings.report_every();
         for machine in self.machines.values_mut() {
@@ -416,12 +491,12 @@
             // A start of a cancelled job may be held back on its way there: as long as others keep
             // the session alive it could still be executed, however late. Ending the session in
             // time is the only way to stop it.
-            let doomed = machine
-                .entries
-                .values()
-                .any(|entry| entry.flying > 0 && !entry.seen && entry.stopped_for(OVER));
+            let doomed = |machine: &Machine| {
+                let mut entries = machine.entries.values();
+                entries.any(|entry| entry.flying > 0 && !entry.seen && entry.stopped_for(OVER))
+            };
             let dead = machine.silent_for(now) > quiet && !cut_off[machine.zone] && !vouched;
-            if dead || (doomed && machine.silent_for(now) > every) {
+            if dead || (machine.silent_for(now) > every && doomed(machine)) {
                 machine.barred_since.get_or_insert(self.grants.number);
                 barred.push(machine.id.clone());
                 continue;
@@ -430,6 +505,7 @@
             // Perhaps out of our reach alone: whoever hears it answers it, though we are near.
             machine.lent = machine.life == Life::Up && machine.silent_for(now) >= every * 3 / 2;
             if machine.lent {
+                self.look_at.insert(machine.id.clone());
                 lent.push(machine.id.clone());
             }
         }
@@ -475,6 +551,7 @@
     pub fn tick(&mut self, state: &mut StateCore, cloud: &mut CloudCore, now: Instant) {
         if now >= self.watch_at {
             self.watch_at = now + WATCH_EVERY;
+            self.look_all = true;
             self.watch_machines(&state.cache, cloud, now);
             self.store_gone(state);
             self.read_drains(&state.cache);
@@ -488,19 +565,35 @@
             self.plan_at = now + PLAN_EVERY;
             self.planned = true;
             self.plan(&state.cache, cloud, now);
+            self.look_all = true;
         }
         self.send_direct(now);
     }
 
-    /// Zones none of whose machines is heard: cut off from here rather than dead.
-    fn silent_zones(&self, now: Instant) -> Vec<bool> {
+    /// One look at all machines, for all that a pass or a watch asks of them as a whole.
+    fn survey(&self, now: Instant) -> Survey {
         let quiet = self.settings.report_every() * 2 + Duration::from_secs(1);
-        let mut up = vec![0; self.settings.platform.params.zones.len()];
-        let mut heard = up.clone();
-        for machine in self.machines.values().filter(|m| m.life == Life::Up) {
-            up[machine.zone] += 1;
-            heard[machine.zone] += usize::from(machine.silent_for(now) < quiet);
+        let zones = self.settings.platform.params.zones.len();
+        let (up, heard) = (vec![0; zones], vec![0; zones]);
+        let mut survey = Survey { up, heard, ..Survey::default() };
+        for machine in self.machines.values() {
+            if machine.life == Life::Up {
+                survey.up[machine.zone] += 1;
+                survey.heard[machine.zone] += usize::from(machine.silent_for(now) < quiet);
+            }
+            survey.booting |= machine.life == Life::Booting;
+            survey.asked_in_vain |= machine.asked_in_vain.is_some();
+            survey.failing |= machine.failed_jobs.len() >= FAULTY_JOBS;
+            if machine.up_since.is_some() {
+                survey.newest = survey.newest.max(Some(machine.rented));
+            }
         }
+        survey
+    }
+
+    /// Zones none of whose machines is heard: cut off from here rather than dead.
+    fn silent_zones(&self, survey: &Survey, now: Instant) -> Vec<bool> {
+        let (up, heard) = (&survey.up, &survey.heard);
         // One silent machine alone may well be dead, unless its zone's controllers are silent too.
         let names = &self.settings.platform.params.zones;
         let deaf = |zone: usize| {
@@ -515,8 +608,8 @@
 
     /// Zones that are silent or were so a moment ago: when a cut ends, the machines behind it
     /// come back one by one, and the last to report is not dead because the first has reported.
-    fn cut_off_zones(&mut self, now: Instant) -> Vec<bool> {
-        for (zone, silent) in self.silent_zones(now).into_iter().enumerate() {
+    fn cut_off_zones(&mut self, survey: &Survey, now: Instant) -> Vec<bool> {
+        for (zone, silent) in self.silent_zones(survey, now).into_iter().enumerate() {
             if silent {
                 self.zone_silent_at[zone] = Some(now);
             }
@@ -525,66 +618,55 @@
         self.zone_silent_at.iter().map(|at| at.is_some_and(|at| now < at + back)).collect()
     }
 
+    /// Sends what is owed to machines, to those of which anything was heard since the last time, or to any where
+    /// more has changed: few have anything owed, and a look at each of them at each tick cost more than most else.
     fn send_direct(&mut self, now: Instant) {
-        let late = self.late_after();
-        let open: Vec<bool> = self
-            .zone_heard
-            .iter()
-            .map(|at| at.is_some_and(|at| now < at + self.settings.report_every()))
-            .collect();
-        let under_way = self.machines.values().filter(|m| m.direct_in_flight).count();
-        let mut left = self.most_direct.saturating_sub(under_way);
-        // Those that were left out the last time come first.
+        // Those that were left out the last time come first, and the others after them.
         let from = self.direct_from.take();
-        let skipped = |id: &MachineId| from.as_ref().is_some_and(|from| id < from);
-        for machine in self.machines.values_mut() {
-            machine.asked_openly &= machine.direct_in_flight;
-            machine.asked_openly |= !machine.direct_in_flight && open[machine.zone];
-            if skipped(&machine.id) {
-                continue;
-            }
-            if left == 0 {
-                self.direct_from = Some(machine.id.clone());
-                break;
-            }
-            let Some(address) = machine.address else { continue };
-            if machine.direct_in_flight
-                || now < machine.direct_after
-                || machine.life == Life::Booting
-            {
-                continue;
+        let all = std::mem::replace(&mut self.look_all, from.is_some()) || from.is_some();
+        let some = std::mem::take(&mut self.look_at);
+        let late = self.late_after();
+        let mut left = self.most_direct.saturating_sub(self.under_way);
+        let look_at = &mut self.look_at;
+        let mut call = |machine: &mut Machine| {
+            let owed = Owed::to(machine, self.token, late, now);
+            if left == 0 && matches!(owed, Owed::Call(..)) {
+                return false;
             }
-            if machine.session == 0 {
-                if !machine.confirmed {
-                    // Few leases ever expire, so most machines are in their first session and
-                    // confirm themselves with this one answer. Any other refuses, and its refusal
-                    // tells the session: with hundreds of machines a question before costs a
-                    // take-over most of a second.
-                    let session = Some(FIRST_SESSION);
-                    let orders = Orders { token: self.token, session, orders: Vec::new() };
+            match owed {
+                Owed::Nothing => {}
+                Owed::Later => drop(look_at.insert(machine.id.clone())),
+                Owed::Call(address, direct) => {
                     left -= 1;
+                    self.under_way += 1;
+                    if let Direct::Do(orders) = &direct {
+                        machine.note_flying(&orders.orders, 1);
+                    }
+                    let heard = self.zone_heard[machine.zone];
+                    let every = self.settings.report_every();
+                    machine.asked_openly = heard.is_some_and(|at| now < at + every);
                     (machine.direct_in_flight, machine.direct_sent) = (true, now);
-                    self.direct.push((machine.id.clone(), address, Direct::Do(orders)));
+                    self.direct.push((machine.id.clone(), address, direct));
                 }
-                continue;
             }
-            let orders = if machine.owed { machine.starts_and_stops() } else { Vec::new() };
-            machine.owed = !orders.is_empty();
-            if orders.is_empty() && machine.confirmed {
-                if machine.lent || machine.silent_for(now) > late {
-                    // Its answer will show that it is in our reach again, or that it lives.
-                    left -= 1;
-                    (machine.direct_in_flight, machine.direct_sent) = (true, now);
-                    self.direct.push((machine.id.clone(), address, Direct::Status));
+            true
+        };
+        if all {
+            let skipped = |id: &MachineId| from.as_ref().is_some_and(|from| id < from);
+            for machine in self.machines.values_mut().filter(|machine| !skipped(&machine.id)) {
+                if !call(machine) {
+                    self.direct_from = Some(machine.id.clone());
+                    break;
                 }
-                continue;
             }
-            machine.note_flying(&orders, 1);
-            left -= 1;
-            (machine.direct_in_flight, machine.direct_sent) = (true, now);
-            let session = Some(machine.session);
-            let orders = Orders { token: self.token, session, orders };
-            self.direct.push((machine.id.clone(), address, Direct::Do(orders)));
+            return;
+        }
+        let mut some = some.into_iter();
+        while let Some(id) = some.next() {
+            if !self.machines.get_mut(&id).is_none_or(&mut call) {
+                self.look_at.extend(some.chain([id]));
+                break;
+            }
         }
     }
 
@@ -598,7 +680,8 @@
         now: Instant,
     ) -> bool {
         let Some(machine) = self.machines.get_mut(id) else { return true };
-        machine.direct_in_flight = false;
+        self.under_way -= usize::from(std::mem::take(&mut machine.direct_in_flight));
+        self.look_at.insert(id.clone());
         let answered = !matches!(report, Err(crate::http::CallError::Unknown));
         if let (Some(orders), true) = (sent, answered) {
             machine.note_flying(&orders.orders, -1);
--- a/src/foreman/asks.rs
+++ b/src/foreman/asks.rs
@@ -156,7 +156,7 @@
         &self,
         asks: &mut Vec<Ask>,
         sizes: &[Amount],
-        silent: &[bool],
+        (survey, silent): (&Survey, &[bool]),
         team: usize,
     ) {
         let Some(size) = sizes.first() else { return };
@@ -166,13 +166,9 @@
         for machine in self.machines.values().filter(|m| m.life == Life::Up && !m.spot) {
             lent[machine.zone] += machine.low_cpu();
         }
-        // What comes at once grows with the fleet, and so does the room that it finds.
-        let mut up = vec![0.0; zones];
-        for machine in self.machines.values().filter(|m| m.life == Life::Up) {
-            up[machine.zone] += 1.0;
-        }
         let wanted = |zone: usize| {
-            let share = self.settings.operator.warm_share * up[zone];
+            // What comes at once grows with the fleet, and so does the room that it finds.
+            let share = self.settings.operator.warm_share * survey.up[zone] as f64;
             (self.settings.operator.warm_per_zone.max(share) * 4.0).round() as u64
         };
         for zone in (0..zones).filter(|zone| !silent[*zone]) {
@@ -208,6 +204,10 @@
         now: Instant,
     ) -> Vec<(Kind, Offer)> {
         let mut offers = Vec::new();
+        let mut held = vec![[0u32; 2]; self.settings.platform.params.zones.len()];
+        for machine in self.machines.values() {
+            held[machine.zone][usize::from(machine.spot)] += 1;
+        }
         for (flavor, info) in self.flavors.iter().enumerate() {
             for zone in info.zones.iter().filter_map(|name| self.zone(name)) {
                 for spot in [true, false] {
@@ -217,7 +217,6 @@
                     if scarce.is_some_and(|(until, _)| *until > now || asked) {
                         continue;
                     }
-                    let held = self.machines.values().filter(|m| m.zone == zone && m.spot == spot);
                     let offer = Offer {
                         flavor,
                         zone,
@@ -225,7 +224,7 @@
                         price: if spot { info.spot_price } else { info.price },
                         size: sizes[flavor],
                         most: scarce.map_or(HIRE_MAX, |(_, most)| *most),
-                        held: held.count() as u32,
+                        held: held[zone][usize::from(spot)],
                     };
                     offers.push((kind, offer));
                 }
--- a/src/foreman/chains.rs
+++ b/src/foreman/chains.rs
@@ -79,10 +79,13 @@
     /// Jobs that wait for others and will be ready by the time that a machine rented now is up, the
     /// soonest first.
     pub(super) fn coming(&self, live: &[(&JobId, &LiveJob)], now: Instant) -> Vec<JobId> {
+        let mut waiting: Vec<_> = live.iter().filter(|(_, job)| !job.ready()).collect();
+        if waiting.is_empty() {
+            return Vec::new();
+        }
         let horizon = self.usual_boot_s();
         let jobs: HashMap<&JobId, &LiveJob> = live.iter().copied().collect();
         // By age, since a job only needs those that were accepted before it.
-        let mut waiting: Vec<_> = live.iter().filter(|(_, job)| !job.ready()).collect();
         waiting.sort_by_key(|(id, job)| (job.accepted_ms, *id));
         let mut ends: HashMap<&JobId, f64> = HashMap::new();
         let mut found = Vec::new();
--- a/src/foreman/keeping.rs
+++ b/src/foreman/keeping.rs
@@ -31,7 +31,8 @@
                             Some(entry) if entry.state == TaskState::Exited => entry.settled = true,
                             // A second run of a task that is done by now.
                             _ => {
-                                machine.stop(&key, Stop { grace_s: 0.0, reason: "done elsewhere" })
+                                machine.stop(&key, Stop { grace_s: 0.0, reason: "done elsewhere" });
+                                self.look_at.insert(machine.id.clone());
                             }
                         }
                     }
@@ -67,6 +68,7 @@
     /// Stops whatever a job that is over has anywhere.
     pub(super) fn stop_all(&mut self, id: &JobId) {
         let attempts = attempts_of(id);
+        self.look_all = true;
         for machine in self.machines.values_mut() {
             let mut keys = Vec::new();
             for (key, entry) in machine.entries.range_mut(attempts.clone()) {
@@ -95,13 +97,19 @@
         {
             machine.recorded = true;
             machine.owed = true;
+            self.look_at.insert(id.clone());
             self.plan_wanted = true;
         }
     }
 
     /// Hands the store what is due: records of machines and completions.
     pub(super) fn store(&mut self, state: &mut StateCore, now: Instant) {
-        for machine in self.machines.values().filter(|m| m.life == Life::Up && !m.recorded) {
+        let machines = &self.machines;
+        let due = |id: &MachineId| {
+            machines.get(id).filter(|machine| machine.life == Life::Up && !machine.recorded)
+        };
+        self.unrecorded.retain(|id| due(id).is_some());
+        for machine in self.unrecorded.iter().filter_map(due) {
             let origin = Origin::MachineKnown(machine.id.clone());
             if state.has_item(&origin) {
                 continue;
@@ -127,11 +135,17 @@
 
     /// Removes the records of machines that are surely gone.
     pub(super) fn store_gone(&self, state: &mut StateCore) {
+        // Both are in the order of their names: one walk along both instead of a search for each.
+        let mut ours = self.machines.keys().peekable();
+        let mut is_ours = |id: &MachineId| {
+            while ours.next_if(|our| *our < id).is_some() {}
+            ours.peek().is_some_and(|our| *our == id)
+        };
         let gone: Vec<(MachineId, Revision)> = state
             .cache
             .machines
             .iter()
-            .filter(|(id, _)| !self.machines.contains_key(*id))
+            .filter(|(id, _)| !is_ours(id))
             // One of a kind that is not known is not known to be gone.
             .filter(|(_, (m, _))| self.kind(&m.flavor, &m.zone, m.spot).is_some())
             .map(|(id, (_, rev))| (id.clone(), *rev))
@@ -158,7 +172,10 @@
         let layout = state.layout();
         let now_ms = self.wall.ms(now);
         let guard = self.leader_guard();
-        let reported = self.work.iter().filter(|(_, work)| !work.completing.is_empty());
+        let work = &self.work;
+        let due = |id: &JobId| work.get(id).is_some_and(|work| !work.completing.is_empty());
+        self.completing.retain(due);
+        let reported = self.completing.iter().filter_map(|id| work.get_key_value(id));
         let mut reported: Vec<(&JobId, &Work)> = reported.collect();
         // A write carries whatever marks of a job have come, so the longer marks wait the fewer writes
         // they take. Where the budget is short, only what ends a job goes at once.
@@ -169,6 +186,12 @@
                 continue;
             }
             let Some(job) = state.cache.jobs.get(id) else { continue };
+            let goes_on = |live: &LiveJob| {
+                live.done_count() + (work.completing.len() as u64) < live.spec.tasks
+            };
+            if (!marks || state.is_behind()) && job.live().is_none_or(goes_on) {
+                continue;
+            }
             let tasks: Vec<u32> = work.completing.iter().copied().collect();
             let Some(done) = jobs::complete(id, job, &tasks, now_ms, &layout) else { continue };
             if !done.ends && (!marks || state.is_behind()) {
--- a/src/foreman/planning.rs
+++ b/src/foreman/planning.rs
@@ -88,15 +88,16 @@
     pub(super) fn bins(
         &mut self,
         sizes: &[Amount],
+        survey: &Survey,
         now: Instant,
     ) -> (Vec<Bin>, Vec<Option<MachineId>>) {
         let settings = self.settings.clone();
         let threshold = settings.operator.heavy_threshold;
         let quiet = settings.report_every() * 2 + Duration::from_secs(1);
-        let mut bins = Vec::new();
-        let mut names = Vec::new();
+        let mut bins = Vec::with_capacity(self.machines.len());
+        let mut names = Vec::with_capacity(self.machines.len());
         let hold = Duration::from_secs_f64(settings.operator.hold_s);
-        let overdue = self.overdue(now);
+        let overdue = self.overdue(survey, now);
         let drained = self.draining.drained.clone();
         for machine in self.machines.values_mut() {
             let flavor = &self.flavors[machine.flavor];
@@ -205,17 +206,12 @@
         let sizes: Vec<Amount> = (0..self.flavors.len()).map(|f| self.size(f)).collect();
 
         // Machines on which tasks may run that no report has shown yet.
-        let unsure: Vec<(usize, usize, bool)> = self
-            .machines
-            .values()
-            .filter(|m| !m.confirmed)
-            .map(|m| (m.flavor, m.zone, m.spot))
-            .collect();
-        let unsure_room = self
-            .machines
-            .values()
-            .filter(|m| !m.confirmed)
-            .fold(Amount::default(), |sum, m| sum.plus(&self.size(m.flavor).minus(&m.used())));
+        let mut unsure: Vec<(usize, usize, bool)> = Vec::new();
+        let mut unsure_room = Amount::default();
+        for machine in self.machines.values().filter(|m| !m.confirmed) {
+            unsure.push((machine.flavor, machine.zone, machine.spot));
+            unsure_room = unsure_room.plus(&self.size(machine.flavor).minus(&machine.used()));
+        }
 
         let known = |id| {
             let (id, job) = cache.jobs.all.get_key_value(id)?;
@@ -240,10 +236,11 @@
         let unlimited = Amount { cpu: u64::MAX, gpu: u64::MAX, ram: u64::MAX };
         team_room.push(unlimited);
 
-        let mut silent = self.silent_zones(now);
+        let survey = self.survey(now);
+        let mut silent = self.silent_zones(&survey, now);
         // No room is kept, and nothing rented, where all is to leave.
         silent.iter_mut().zip(self.drained_zones()).for_each(|(shut, drained)| *shut |= drained);
-        let (mut bins, mut names) = self.bins(&sizes, now);
+        let (mut bins, mut names) = self.bins(&sizes, &survey, now);
         let pending = cloud.pending();
         let may_rent = now >= self.since + HIRE_SETTLE
             && (self.listed_once || now >= self.since + HIRE_SETTLE * 4);
@@ -312,7 +309,7 @@
         }
         let real_asks = asks.len();
         self.coming_asks(&mut asks, coming, cache, &sizes);
-        self.warm_asks(&mut asks, &sizes, &silent, params.teams.len());
+        self.warm_asks(&mut asks, &sizes, (&survey, &silent), params.teams.len());
 
         for (kind, count) in &pending {
             for _ in 0..*count {
--- a/src/foreman/renting.rs
+++ b/src/foreman/renting.rs
@@ -8,6 +8,7 @@
 impl Foreman {
     pub fn on_cloud(&mut self, event: CloudEvent, cache: &Cache, now: Instant) {
         self.plan_wanted = true;
+        self.look_all = true;
         match event {
             CloudEvent::Flavors(found) => {
                 crate::wire::merge(&mut self.flavors, found);
@@ -101,6 +102,7 @@
 
     pub(super) fn gone(&mut self, id: &MachineId, how: &'static str, cache: &Cache, now: Instant) {
         let Some(mut machine) = self.machines.remove(id) else { return };
+        self.under_way -= usize::from(machine.direct_in_flight);
         let zones = self.settings.platform.params.zones.len() as u64;
         self.ranks[machine.zone].free.insert(machine.index / zones);
         tracing::info!(machine = %id, how, tasks = machine.entries.len(), "machine is gone");
@@ -109,21 +111,18 @@
         }
     }
 
-    /// Whether a machine that was rented later than this one is up.
-    pub(super) fn overtaken(&self) -> impl Fn(&Machine) -> bool + use<> {
-        let up = self.machines.values().filter(|machine| machine.up_since.is_some());
-        let newest = up.map(|machine| machine.rented).max();
-        move |machine| newest.is_some_and(|at| at > machine.rented)
-    }
-
     /// From what age on work is not booked on a machine any more that is still booting. Where several
     /// at once are overdue and none that was rented later is up, all come late, and renting as many
     /// again would pay twice for the same wait.
-    pub(super) fn overdue(&self, now: Instant) -> impl Fn(&Machine, &Flavor) -> bool + use<> {
+    pub(super) fn overdue(
+        &self,
+        survey: &Survey,
+        now: Instant,
+    ) -> impl Fn(&Machine, &Flavor) -> bool + use<> {
         let usual = |flavor: &Flavor| {
             Duration::from_secs_f64(flavor.boot_s * BOOT_OVERDUE) + BOOT_OVERDUE_MORE
         };
-        let overtaken = self.overtaken();
+        let overtaken = survey.overtaken();
         let aged = move |machine: &Machine, flavor: &Flavor| {
             now.saturating_duration_since(machine.rented) >= usual(flavor)
         };
@@ -132,16 +131,19 @@
                 && aged(machine, &self.flavors[machine.flavor])
                 && !overtaken(machine)
         });
-        let all_late = late.count() >= LATE_TOGETHER;
+        let all_late = survey.booting && late.count() >= LATE_TOGETHER;
         move |machine, flavor| aged(machine, flavor) && (!all_late || overtaken(machine))
     }
 
     pub(super) fn watch_machines(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let lease = self.settings.worker_lease();
-        let cut_off = self.cut_off_zones(now);
-        self.weigh_failures(cache, now);
-        self.give_up_lost(&cut_off, cache, now);
-        let overtaken = self.overtaken();
+        let survey = self.survey(now);
+        let cut_off = self.cut_off_zones(&survey, now);
+        self.weigh_failures(&survey, cache, now);
+        if survey.asked_in_vain {
+            self.give_up_lost(&cut_off, cache, now);
+        }
+        let overtaken = survey.overtaken();
         let idle_return = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         let mut facts = Vec::new();
         for machine in self.machines.values_mut() {
--- a/src/foreman/reports.rs
+++ b/src/foreman/reports.rs
@@ -28,6 +28,11 @@
         // The answer is about to be sent, so its lease may now last until a lease from here.
         machine.answered = now;
         let orders = machine.orders();
+        // Most reports leave nothing owed.
+        machine.owed = orders.iter().any(|order| !matches!(order, Order::Forget { .. }));
+        if machine.owed || !machine.confirmed {
+            self.look_at.insert(report.machine.clone());
+        }
         Some(self.answer(orders))
     }
 
@@ -59,6 +64,9 @@
         }
         // Most reports say what is known already and change no plan.
         self.zone_heard[machine.zone] = Some(now);
+        if !machine.recorded {
+            self.unrecorded.insert(machine.id.clone());
+        }
         let news = !facts.is_empty()
             || usable(machine) != before
             || had_notice != machine.recall_at.is_some();
@@ -196,6 +204,7 @@
             if !live.is_done(task.index) {
                 let work = self.work.entry(task.job.clone()).or_default();
                 work.completing.insert(task.index);
+                self.completing.insert(task.job.clone());
                 self.did_well(&task.job, now);
                 return;
             }
@@ -260,7 +269,7 @@
 
     /// Looks whether jobs that failed have tasks by now that ran for a while, and which machines
     /// failed jobs that do well elsewhere. A job that is done did, one cancelled tells nothing.
-    pub(super) fn weigh_failures(&mut self, cache: &Cache, now: Instant) {
+    pub(super) fn weigh_failures(&mut self, survey: &Survey, cache: &Cache, now: Instant) {
         let ran = |(machine, attempt): &(MachineId, Attempt), job: &JobId, index: u32| {
             let entry = self.machines.get(machine)?;
             let entry = entry.entries.get(&(TaskId { job: job.clone(), index }, *attempt))?;
@@ -275,6 +284,9 @@
         for id in proven {
             self.did_well(&id, now);
         }
+        if !survey.failing {
+            return;
+        }
         for machine in self.machines.values_mut().filter(|m| m.failed_jobs.len() >= FAULTY_JOBS) {
             let sound = |id: &&JobId| match cache.jobs.get(id).map(|job| &job.body) {
                 Some(JobBody::Over { cancelled, .. }) => !cancelled,
--- a/src/foreman/shortage.rs
+++ b/src/foreman/shortage.rs
@@ -136,7 +136,8 @@
         // Of what waits, that which a predecessor may have started.
         let mut hidden: BTreeMap<Group, Room> = BTreeMap::new();
         for (id, job) in live {
-            let group = self.group(job);
+            let known = self.work.get(*id).and_then(|work| work.group);
+            let group = known.unwrap_or_else(|| self.group(job));
             let Some(team) = self.settings.platform.params.teams.get(group.1) else { continue };
             let guest = team.guarantee().is_zero();
             let each = room(&job.need, &largest);
--- a/src/foreman/stops.rs
+++ b/src/foreman/stops.rs
@@ -82,6 +82,9 @@
         cache: &Cache,
         now: Instant,
     ) {
+        if unplaced.iter().all(|(count, ask)| *count == 0 || ask.gang) {
+            return;
+        }
         // Room that earlier stops are about to free. Its size counts: sixteen small tasks may
         // make room for one.
         let mut coming = self
--- a/src/foreman/tests.rs
+++ b/src/foreman/tests.rs
@@ -236,7 +236,8 @@
     bench.pass(patience / 2);
     let flavor = flavor();
     let overdue = |bench: &Bench| {
-        let overdue = bench.foreman.overdue(bench.now);
+        let survey = bench.foreman.survey(bench.now);
+        let overdue = bench.foreman.overdue(&survey, bench.now);
         bench
             .foreman
             .machines
@@ -530,6 +531,7 @@
             (machine.direct_in_flight, machine.owed) = (false, true);
             machine.direct_after = bench.now;
         }
+        (bench.foreman.under_way, bench.foreman.look_all) = (0, true);
         bench.foreman.direct.clear();
         bench.foreman.send_direct(bench.now);
         assert!(bench.foreman.direct.len() <= 2);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -13,9 +13,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// A set of task numbers, one bit each.
+/// A set of task numbers, one bit each, and how many there are.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Bits(Vec<u8>);
+pub struct Bits(Vec<u8>, u64);
 
 impl Bits {
     pub fn has(&self, i: u32) -> bool {
@@ -26,10 +26,11 @@
         if self.0.len() <= at {
             self.0.resize(at + 1, 0);
         }
+        self.1 += u64::from(self.0[at] & (1 << (i % 8)) == 0);
         self.0[at] |= 1 << (i % 8);
     }
     pub fn count(&self) -> u64 {
-        self.0.iter().map(|byte| u64::from(byte.count_ones())).sum()
+        self.1
     }
     fn marks(&self) -> impl Iterator<Item = u32> {
         (0..self.0.len() as u32 * 8).filter(|i| self.has(*i))
@@ -54,7 +55,9 @@
         wire::hex(&self.0)
     }
     fn from_hex(text: &str) -> Option<Bits> {
-        wire::unhex(text).map(Bits)
+        let bytes = wire::unhex(text)?;
+        let count = bytes.iter().map(|byte| u64::from(byte.count_ones())).sum();
+        Some(Bits(bytes, count))
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -840,8 +840,6 @@
     /// and once nobody led for so long that every lease ran out.
     fn resign_if_cut_off(&mut self, now: Instant) {
         let Some(foreman) = &self.foreman else { return };
-        let known = foreman.machines.values().filter(|m| m.up_since.is_some() || m.recorded);
-        let known = known.count() as u32;
         let silence = now.saturating_duration_since(foreman.last_report.max(self.woke));
         let patience = if foreman.reports > 0 {
             RESIGN_AFTER.max(self.settings.report_every() / 2)
@@ -851,7 +849,12 @@
         let elsewhere = self.worker_elsewhere;
         // Whom another controller hears it sends here at once.
         let missing = elsewhere.is_some_and(|at| at > foreman.last_report + REDIRECT_MOST);
-        if known >= 3 && !self.state.lost(now) && missing && silence > patience {
+        if !missing || silence <= patience || self.state.lost(now) {
+            return;
+        }
+        let known = foreman.machines.values().filter(|m| m.up_since.is_some() || m.recorded);
+        let known = known.count() as u32;
+        if known >= 3 {
             tracing::info!(known, "workers report elsewhere and not here, giving up leadership");
             self.step_down(now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -420,7 +420,8 @@
     loading: Option<Loading>,
     requests: Bucket,
     writes: Bucket,
-    items: Vec<Item>,
+    /// What waits to be written, with what it takes in a request.
+    items: Vec<(Item, usize)>,
     /// Whose changes wait or are under way: asked for each job with completions, so often.
     origins: HashSet<Origin>,
     batch_in_flight: bool,
@@ -563,8 +564,10 @@
 
     pub fn push(&mut self, item: Item) {
         self.origins.insert(item.origin.clone());
-        let at = self.items.partition_point(|other| other.rank <= item.rank);
-        self.items.insert(at, item);
+        let at = self.items.partition_point(|(other, _)| other.rank <= item.rank);
+        // JSON spells numbers and names longer than CBOR does, but by less than a half.
+        let size = wire::encode(&item.change.writes).len() * 3 / 2 + 100;
+        self.items.insert(at, (item, size));
     }
 
     /// Whether the budget is short: more waits than two transactions hold.
@@ -580,7 +583,7 @@
     #[cfg(test)]
     pub(crate) fn take_items(&mut self) -> Vec<Item> {
         self.origins.clear();
-        std::mem::take(&mut self.items)
+        std::mem::take(&mut self.items).into_iter().map(|(item, _)| item).collect()
     }
 
     fn settle(&mut self, origin: Origin, outcome: Outcome) {
@@ -640,13 +643,11 @@
     fn send_batch(&mut self, now: Instant) {
         let mut txn = Txn { guards: Vec::new(), writes: Vec::new() };
         let mut taken: Vec<Item> = Vec::new();
-        let mut left: Vec<Item> = Vec::new();
+        let mut left: Vec<(Item, usize)> = Vec::new();
         let mut keys: HashSet<String> = HashSet::new();
         let mut bytes = 0usize;
-        for item in std::mem::take(&mut self.items) {
+        for (item, size) in std::mem::take(&mut self.items) {
             let ops = txn.writes.len() + item.change.writes.len();
-            // JSON spells numbers and names longer than CBOR does, but by less than a half.
-            let size = wire::encode(&item.change.writes).len() * 3 / 2 + 100;
             let fits = taken.is_empty()
                 || (self.alone == 0
                     && ops <= self.limits.txn_ops
@@ -660,11 +661,11 @@
             });
             if !fits || shares || clashes || (!left.is_empty() && taken.len() > self.limits.txn_ops)
             {
-                left.push(item);
+                left.push((item, size));
                 continue;
             }
             if !self.writes.has(ops as f64, now) {
-                left.push(item);
+                left.push((item, size));
                 continue;
             }
             bytes += size;
