Questions of a new leader and requests read ahead are bounded by the allowance

Cause: a new leader of 571 machines asked all of them at once, each question a new connection of some 200 us, while all of them also reported to it by themselves: four seconds of its allowance at the lean size. 256 requests were read and not handled, tuned where that was a tenth of a second: 0.85 s at 4.8% of a core. Change: questions take 0.4 of the allowance at the most, so most machines have reported by the time they would be asked; requests are read for 0.1 s ahead by what they cost (30 at the lean size). params.resources.cpu and memory_mb are checked; zero means that no limit is named.

--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -303,17 +303,18 @@
 }
 
 /// Accepts connections until the process ends. Connections beyond `most` are told 503 and closed; `count` tells
-/// how many are open.
+/// how many are open. At most `together` requests are read and not handled yet.
 pub async fn serve(
     listener: TcpListener,
     most: usize,
+    together: usize,
     to: mpsc::Sender<Incoming>,
     count: watch::Sender<usize>,
 ) {
     let (done_tx, mut done_rx) = mpsc::unbounded_channel::<()>();
     // Thousands of requests that come at once are read a few at a time: else whatever else this process
     // does, its own calls to the state service first of all, waits behind all of them.
-    let gate = Arc::new(Semaphore::new(READ_TOGETHER));
+    let gate = Arc::new(Semaphore::new(together));
     let mut open = 0usize;
     loop {
         tokio::select! {
@@ -752,7 +753,7 @@
         let address = listener.local_addr().unwrap();
         let (to, mut from) = mpsc::channel(10 * READ_TOGETHER);
         let (count, _open) = watch::channel(0);
-        tokio::spawn(serve(listener, usize::MAX, to, count));
+        tokio::spawn(serve(listener, usize::MAX, READ_TOGETHER, to, count));
         let all = READ_TOGETHER + 50;
         let client = Client::start(0, vec![]);
         let calls: Vec<_> = (0..all)
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -14,6 +14,19 @@
 pub const KEPT_SOCKET_SHARE: f64 = 0.03;
 /// Share of the platform's socket limit for calls to workers under way, however many connections are open.
 pub const DIRECT_SOCKET_LEAST: f64 = 0.04;
+/// What a request or a report takes of a whole core, with its packets: measured over days of all sizes.
+pub const REQUEST_COST: Duration = Duration::from_micros(160);
+/// What a call to a worker takes of a whole core, with the connection that it may need.
+pub const CALL_COST: Duration = Duration::from_micros(200);
+/// Requests are read and not handled for so long at the most, by what they cost and what this controller is allowed.
+pub const READ_AHEAD: Duration = Duration::from_millis(100);
+/// Count. And at least so many at once.
+pub const READ_LEAST: usize = 16;
+/// Share of its allowance with which a new leader asks machines whether they have seen its token: most report by
+/// themselves meanwhile, and each that does need not be asked.
+pub const CONFIRM_SHARE: f64 = 0.4;
+/// Seconds. Such calls that may go at once.
+pub const CONFIRM_BURST_S: f64 = 0.2;
 /// Count. Calls to workers under way at the most while a leader of many machines is behind: a call opens a connection
 /// and costs several times what an answer to a report does, which carries the same orders some seconds later.
 pub const DIRECT_BEHIND: usize = 16;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -282,6 +282,8 @@
     pub most_direct: usize,
     /// How many are; and machines to which something may be owed, or whether that may be any.
     under_way: usize,
+    /// Questions to machines that have not answered this leader yet.
+    confirms: Bucket,
     look_at: BTreeSet<MachineId>,
     look_all: bool,
     /// From which machine on calls are sent next, where not all may be under way at once.
@@ -318,6 +320,8 @@
         let zones = settings.platform.params.zones.len();
         let ranks = std::iter::repeat_with(Ranks::default).take(zones).collect();
         let shortage = Shortage::new(settings.operator.floor);
+        let allowed = &settings.platform.params.resources;
+        let confirms = allowed.fits(Duration::from_secs(1), CALL_COST) * CONFIRM_SHARE;
         let mut foreman = Foreman {
             token,
             grants: Grants::new(token, peers, now),
@@ -355,6 +359,7 @@
             most_machines: u32::MAX,
             most_direct: usize::MAX,
             under_way: 0,
+            confirms: Bucket::new(confirms, CONFIRM_BURST_S, now),
             look_at: BTreeSet::new(),
             look_all: true,
             direct_from: None,
@@ -629,10 +634,17 @@
         let mut left = self.most_direct.saturating_sub(self.under_way);
         let look_at = &mut self.look_at;
         let mut call = |machine: &mut Machine| {
+            if !machine.confirmed && !self.confirms.has(1.0, now) {
+                look_at.insert(machine.id.clone());
+                return true;
+            }
             let owed = Owed::to(machine, self.token, late, now);
             if left == 0 && matches!(owed, Owed::Call(..)) {
                 return false;
             }
+            if !machine.confirmed && matches!(owed, Owed::Call(..)) {
+                self.confirms.take(1.0, now);
+            }
             match owed {
                 Owed::Nothing => {}
                 Owed::Later => drop(look_at.insert(machine.id.clone())),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -110,6 +110,13 @@
     }
 }
 
+/// How many requests may be read and not handled yet: what this controller can handle in a tenth of a second. Those
+/// of a take-over come all at once, and behind hundreds of them the leader's own calls would wait for seconds.
+pub fn read_together(resources: &Resources) -> usize {
+    let fit = resources.fits(READ_AHEAD, REQUEST_COST) as usize;
+    fit.clamp(READ_LEAST, READ_TOGETHER)
+}
+
 /// What a request is about, the most needed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Need {
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 use crate::http::{self, CallError, Client, Incoming, Method, Request, Response};
 use crate::ids::{JobId, MachineId, NodeName, Revision};
 use crate::jobs;
-use crate::limits::{Ceiling, Inbox, Need, Sockets, come_back_s};
+use crate::limits::{Ceiling, Inbox, Need, Sockets, come_back_s, read_together};
 use crate::mesh::{self, MeshMessage, Pieces};
 use crate::presence::Presence;
 use crate::records;
@@ -1047,7 +1047,8 @@
     let (http_tx, mut http_rx) = mpsc::channel::<Incoming>(USER_QUEUE_MAX);
     let sockets = Sockets::new(&platform.params.resources);
     let (count_tx, open) = watch::channel(0usize);
-    tokio::spawn(http::serve(public, sockets.public, http_tx, count_tx));
+    let together = read_together(&platform.params.resources);
+    tokio::spawn(http::serve(public, sockets.public, together, http_tx, count_tx));
     let (mesh_tx, mut mesh_rx) = mpsc::unbounded_channel();
     tokio::spawn(mesh::serve(mesh_listener, mesh_tx));
     let mut dialers: HashMap<NodeName, mpsc::Sender<MeshMessage>> = HashMap::new();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,6 +120,7 @@
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct Resources {
+    /// Share of a core; zero where the platform names no limit.
     #[serde(default)]
     pub cpu: f64,
     #[serde(default)]
@@ -127,6 +128,15 @@
     pub max_sockets: usize,
 }
 
+impl Resources {
+    /// How many times so long a piece of work may take as the allowance has in it: `each` is what one takes of
+    /// a whole core.
+    pub fn fits(&self, within: Duration, each: Duration) -> f64 {
+        let cores = if self.cpu > 0.0 { self.cpu } else { 1.0 };
+        within.as_secs_f64() * cores / each.as_secs_f64()
+    }
+}
+
 /// An aim, as the platform restates it.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
@@ -320,6 +330,8 @@
         range("params.state.next.txn_ops", txn_ops as f64, 2.0, 1e5);
         range("params.cloud.rps", p.cloud.rps, 0.1, 1e5);
         range("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0, 600.0);
+        range("params.resources.cpu", p.resources.cpu, 0.0, 1e4);
+        range("params.resources.memory_mb", p.resources.memory_mb, 0.0, 1e9);
         range("params.resources.max_sockets", p.resources.max_sockets as f64, 20.0, 1e6);
         let o = &self.operator;
         range("heavy_cap", o.heavy_cap, 0.0, 1.0);
