--- a/src/limits.rs
+++ b/src/limits.rs
@@ -110,6 +110,36 @@
     }
 }
 
+/// How busy a process is, as far as it can tell by itself: what handling events takes of the time that passes, which
+/// does not contain what the system does for it.
+#[derive(Debug, Default)]
+pub struct Pace {
+    pub events: u32,
+    busy: Duration,
+    /// The latest tick.
+    pub late: Duration,
+}
+
+impl Pace {
+    pub fn handled(&mut self, took: Duration) {
+        self.events += 1;
+        self.busy += took;
+    }
+
+    pub fn late(&mut self, late: Duration) {
+        self.late = self.late.max(late);
+    }
+
+    pub fn mean_us(&self) -> u64 {
+        (self.busy / self.events.max(1)).as_micros() as u64
+    }
+
+    /// Of this much time, in hundredths.
+    pub fn share(&self, of: Duration) -> f64 {
+        (self.busy.as_secs_f64() / of.as_secs_f64() * 100.0).round() / 100.0
+    }
+}
+
 /// How many requests may be read and not handled yet: what this controller can handle in a tenth of a second. Those
 /// of a take-over come all at once, and behind hundreds of them the leader's own calls would wait for seconds.
 pub fn read_together(resources: &Resources) -> usize {
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 use crate::http::{self, CallError, Client, Incoming, Method, Request, Response};
 use crate::ids::{JobId, MachineId, NodeName, Revision};
 use crate::jobs;
-use crate::limits::{Ceiling, Inbox, Need, Sockets, come_back_s, read_together};
+use crate::limits::{Ceiling, Inbox, Need, Pace, Sockets, come_back_s, read_together};
 use crate::mesh::{self, MeshMessage, Pieces};
 use crate::presence::Presence;
 use crate::records;
@@ -120,6 +120,8 @@
     tick_due: Instant,
     sockets: Sockets,
     ceiling: Ceiling,
+    /// How busy and how late this process was since the last line of counts.
+    pace: Pace,
     /// Public connections that are open, and whether workers' take up most of them.
     open: usize,
     crowded: bool,
@@ -161,6 +163,7 @@
             tick_due: now,
             sockets: Sockets::new(&p.params.resources),
             ceiling: Ceiling::new(&p.params.resources, now),
+            pace: Pace::default(),
             open: 0,
             crowded: false,
             out: Vec::new(),
@@ -178,6 +181,7 @@
 
     /// Told how long the last event took to handle.
     pub fn took(&mut self, took: Duration, now: Instant) {
+        self.pace.handled(took);
         if let Some(foreman) = &mut self.foreman {
             foreman.took(took, now);
         }
@@ -817,6 +821,7 @@
     /// How late this process is, and how much it can hold.
     fn look_at_limits(&mut self, now: Instant) {
         let late = now.saturating_duration_since(self.tick_due);
+        self.pace.late(late);
         let machines = match &mut self.foreman {
             Some(foreman) => {
                 foreman.pace(late, now);
@@ -871,6 +876,15 @@
             rev = %self.state.cache.rev,
             "requests"
         );
+        let pace = std::mem::take(&mut self.pace);
+        tracing::info!(
+            events = pace.events,
+            mean_us = pace.mean_us(),
+            busy = pace.share(COUNTS_EVERY),
+            late_ms = pace.late.as_millis() as u64,
+            machines_most = self.ceiling.most(),
+            "pace"
+        );
         self.api.latency_ms.reset();
         if let Some(foreman) = &self.foreman {
             foreman.log_counts(&self.state.cache, now);
