A pass for which nothing waits is made twice a second, not eight times

Cause: eight passes a second, 28% of the leader's instructions, most of them asked for by reports that tell of tasks that run. Change: where no task waits, nothing is drained and nothing is inherited anew, a pass waits until half a second after the last whole one (a second left one drained replica behind at the moment that a test of the world looks at).

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -258,6 +258,8 @@
     watch_at: Instant,
     plan_at: Instant,
     plan_wanted: bool,
+    /// When a pass is due even if nothing waits for it.
+    whole_at: Instant,
     /// A pass was made in the event that is being handled.
     planned: bool,
     /// Machines kept as warm room.
@@ -347,6 +349,7 @@
             watch_at: now,
             plan_at: now,
             plan_wanted: true,
+            whole_at: now,
             planned: false,
             reserved: HashSet::new(),
             consolidate_at: now + MOVE_AFTER,
@@ -568,9 +571,12 @@
         if now >= self.plan_at && (self.plan_wanted || now >= self.plan_at + PLAN_IDLE) {
             self.plan_wanted = false;
             self.plan_at = now + PLAN_EVERY;
-            self.planned = true;
-            self.plan(&state.cache, cloud, now);
-            self.look_all = true;
+            if now >= self.whole_at || self.waits_for_a_pass(&state.cache) {
+                self.whole_at = now + PLAN_EVERY * 4;
+                self.planned = true;
+                self.plan(&state.cache, cloud, now);
+                self.look_all = true;
+            }
         }
         self.send_direct(now);
     }
--- a/src/foreman/planning.rs
+++ b/src/foreman/planning.rs
@@ -200,6 +200,17 @@
         }
     }
 
+    /// Whether a pass may do more than keep room warm and empty machines, which can wait for half a second: some task
+    /// waits, or something is to be left. Most reports that ask for a pass tell of tasks that run.
+    pub(super) fn waits_for_a_pass(&self, cache: &Cache) -> bool {
+        let waits = |(id, work): (&JobId, &Work)| {
+            let live = cache.jobs.get(id).and_then(Job::live);
+            live.is_some_and(|live| work.waiting(live) > 0)
+        };
+        let waiting = self.work.iter().any(waits);
+        waiting || self.carried_old || !self.draining.drained.is_empty()
+    }
+
     pub(super) fn plan(&mut self, cache: &Cache, cloud: &mut CloudCore, now: Instant) {
         let settings = self.settings.clone();
         let params = &settings.platform.params;
