--- a/src/foreman/tests.rs
+++ b/src/foreman/tests.rs
@@ -617,3 +617,79 @@
     }
     assert!(width(&bench, &wide) >= 8, "{}", width(&bench, &wide));
 }
+
+/// Counts, not times: reports that say what is known leave no machine to look at, whatever there are of them, and one
+/// that leaves something owed leaves itself alone.
+#[test]
+fn a_tick_looks_at_no_machine_that_did_not_change() {
+    let mut bench = Bench::new();
+    let names: Vec<String> = (0..40).map(|n| format!("i-{n:02}")).collect();
+    for name in &names {
+        bench.report(name, vec![]);
+    }
+    let job = bench.job("wk-1", Shape::Service, 60);
+    (0..3).for_each(|_| bench.pass(PLAN_EVERY * 5));
+    assert_eq!(bench.foreman.work[&job].placed.len(), 60);
+    let mut running = HashMap::new();
+    for state in [TaskState::Fetching, TaskState::Running] {
+        for name in &names {
+            let starts: Vec<Order> = bench.foreman.machines[&MachineId::new(name)]
+                .entries
+                .keys()
+                .map(|(task, attempt)| Order::Start { task: task.clone(), attempt: *attempt })
+                .collect();
+            running.insert(name.clone(), shown(&starts, state));
+            bench.report(name, running[name].clone());
+        }
+    }
+    bench.pass(PLAN_EVERY * 5);
+    assert!(!bench.foreman.look_all && bench.foreman.look_at.is_empty());
+    // As they come all day.
+    for name in &names {
+        assert_eq!(bench.report(name, running[name].clone()), []);
+    }
+    assert!(!bench.foreman.look_all);
+    assert_eq!(bench.foreman.look_at, BTreeSet::new());
+    // A job that is over has its tasks stopped, and each machine is looked at until it is told.
+    bench.foreman.on_told_cancelled(std::slice::from_ref(&job), &bench.state.cache);
+    let one = &names[0];
+    bench.report(one, running[one].clone());
+    assert_eq!(bench.foreman.look_at.len(), 1);
+    assert!(!bench.foreman.waits_for_a_pass(&bench.state.cache));
+}
+
+/// Bytes that a leader holds for a machine, by which the ceiling of machines reckons: counted, with a task for each two
+/// CPUs of it, a job for each three tasks, and names and images of some length.
+#[test]
+fn a_machine_takes_less_memory_than_the_ceiling_reckons_with() {
+    const MACHINES: usize = 300;
+    let mut held = None;
+    let info = allocation_counter::measure(|| {
+        let mut bench = Bench::new();
+        for n in 0..MACHINES {
+            let task = |index: u32| ReportedTask {
+                task: TaskId {
+                    job: JobId::new(&format!("wk-{:09}", n * 3 + index as usize / 3)),
+                    index,
+                },
+                attempt: Attempt(u64::from(index) + 1),
+                state: TaskState::Running,
+                why: None,
+                saved: None,
+            };
+            (0..3).for_each(|job| {
+                drop(bench.job(&format!("wk-{:09}", n * 3 + job), Shape::Array, 9))
+            });
+            bench.report(&format!("i-{n:06}"), (0..8).map(task).collect());
+        }
+        bench.pass(PLAN_EVERY * 5);
+        held = Some(bench);
+    });
+    let bench = held.unwrap();
+    assert_eq!(
+        bench.foreman.machines.values().map(|m| m.entries.len()).sum::<usize>(),
+        MACHINES * 8
+    );
+    let each = info.bytes_current as f64 / MACHINES as f64;
+    assert!((2000.0..MACHINE_BYTES).contains(&each), "{each}");
+}
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -192,6 +192,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Crash(usize),
+    /// A crash, and after how many milliseconds the controller is back.
+    Blink(usize, u64),
     /// Between a node and everything but the state service and the cloud.
     CutNode(usize, bool),
     /// Between zones: node 1 stands in zone b, the others in zone a.
@@ -1329,11 +1331,12 @@
 
     fn fault(&mut self, fault: Fault) {
         match fault {
-            Fault::Crash(node) => {
+            Fault::Crash(node) => self.fault(Fault::Blink(node, 4000)),
+            Fault::Blink(node, back) => {
                 self.nodes[node] = None;
                 self.incarnation[node] += 1;
                 self.tickets[node].clear();
-                self.at(self.t + 4000, Due::Restart(node));
+                self.at(self.t + back, Due::Restart(node));
             }
             Fault::CutNode(node, on) => self.cut_node[node] = on,
             Fault::CutZones(on) => self.cut_zones = on,
@@ -1670,6 +1673,54 @@
     }
 }
 
+/// Controllers end and are back before anybody has noticed: some, most or all, several times in a row, in the midst
+/// of an election, a take-over, an outage, and with messages of the life before held back until after it.
+fn blinks(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut t = 15_000;
+    while t < 100_000 {
+        let back = random.random_range(50..900);
+        let nodes: Vec<usize> = match random.random_range(0..4) {
+            0 => (0..NODES).collect(),
+            1 => vec![random.random_range(0..NODES)],
+            _ => (0..NODES).filter(|_| random.random_range(0..2) == 0).collect(),
+        };
+        faults.extend(nodes.iter().map(|node| (t, Fault::Blink(*node, back))));
+        // Again while they look for a leader, or while the next one takes over.
+        if random.random_range(0..2) == 0 {
+            let again = t + back + random.random_range(100..3500);
+            faults.extend(nodes.iter().map(|node| (again, Fault::Blink(*node, back / 2 + 50))));
+        }
+        let (begins, ends) = match random.random_range(0..5) {
+            0 => (Fault::Outage(true), Fault::Outage(false)),
+            1 => (Fault::CutZones(true), Fault::CutZones(false)),
+            2 => (Fault::Mesh(true), Fault::Mesh(false)),
+            3 => (
+                Fault::Refused(nodes.first().copied().unwrap_or(0), true),
+                Fault::Refused(0, false),
+            ),
+            _ => (Fault::Polls(true), Fault::Polls(false)),
+        };
+        let begin = t.saturating_sub(random.random_range(0..3000));
+        faults.extend([(begin, begins), (t + random.random_range(500..6000), ends)]);
+        t += random.random_range(9000..16_000);
+    }
+    World::day(seed, &faults);
+}
+
+#[test]
+fn controllers_are_back_within_a_fraction_of_a_second() {
+    (900..908).for_each(blinks);
+}
+
+/// `cargo test --release --test cluster -- --ignored`
+#[test]
+#[ignore = "minutes"]
+fn a_thousand_days_of_quick_restarts() {
+    (10_000..11_000).for_each(blinks);
+}
+
 #[test]
 fn restarts_one_after_the_other() {
     for seed in 20..24 {
