A test of what a controller's allowance means where it is tiny, zero, missing or wrong

Need: settings with a tiny, zero or missing cpu, memory or sockets give an error that names the field, or a stated default. Change: tests/settings.rs; no code changed.

--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: faults are named, the example file equals the defaults.
 
+use troutspindle::limits::read_together;
 use troutspindle::settings::{Operator, Settings};
 
 const PLATFORM: &str = r#"{
@@ -71,3 +72,25 @@
     }
     assert!(next(r#""write_rps": "x""#).is_err());
 }
+
+/// A controller's allowance: nothing named is no limit, what can't be is told by its name, and however small it is
+/// something is read and asked.
+#[test]
+fn an_allowance_is_a_limit_only_where_it_is_named() {
+    let resources = |text: &str| {
+        let named = r#""cpu": 0.08, "memory_mb": 56.0, "max_sockets": 700"#;
+        Settings::parse(&PLATFORM.replace(named, text), None)
+    };
+    let fault = |text: &str| resources(text).unwrap_err().to_string();
+    assert!(fault(r#""cpu": -0.1, "max_sockets": 700"#).contains("params.resources.cpu"));
+    assert!(fault(r#""memory_mb": -1, "max_sockets": 700"#).contains("params.resources.memory_mb"));
+    assert!(fault(r#""cpu": 0.1, "max_sockets": 0"#).contains("params.resources.max_sockets"));
+    assert!(fault(r#""cpu": 0.1"#).contains("max_sockets"));
+    let together = |text: &str| read_together(&resources(text).unwrap().platform.params.resources);
+    let whole = together(r#""max_sockets": 700"#);
+    assert_eq!(whole, together(r#""cpu": 0.0, "max_sockets": 700"#));
+    assert_eq!(whole, together(r#""cpu": 1.0, "max_sockets": 700"#));
+    let shares = [1e-9, 0.02, 0.048, 0.08, 0.192, 0.264];
+    let read = shares.map(|cpu| together(&format!(r#""cpu": {cpu}, "max_sockets": 700"#)));
+    assert!(read.is_sorted() && read[0] >= 16 && read[5] <= whole, "{read:?}");
+}
