Reread: one way to make a task's entry; the pause between whole passes has its name

Cause: an entry was written out in full where a task is placed and again where a report shows one; a pause stood in the code as four times another. Change: Entry::new for both; PLAN_WHOLE in constants.rs, 480 ms as before. No decision changed.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -251,6 +251,9 @@
 pub const PLAN_IDLE: Duration = Duration::from_millis(1000);
 /// Shortest pause between two planning rounds.
 pub const PLAN_EVERY: Duration = Duration::from_millis(120);
+/// Longest pause between two passes that are asked for while no task waits: they keep room warm, book what is drained
+/// and look whether room is scarce.
+pub const PLAN_WHOLE: Duration = Duration::from_millis(480);
 /// Where fewer machines can still be held than one for so many that there are, larger ones go first.
 pub const RENTS_FEW: usize = 8;
 /// Count. A pass is followed by a pause so many times as long as it took, if that is more.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -44,6 +44,31 @@
 }
 
 impl Entry {
+    /// A task that is placed now and of which no report has told yet.
+    pub fn new(
+        need: Amount,
+        team: usize,
+        urgency: Urgency,
+        image: Arc<str>,
+        now: Instant,
+    ) -> Entry {
+        Entry {
+            need,
+            team,
+            urgency,
+            image,
+            seen: false,
+            state: TaskState::Fetching,
+            flying: 0,
+            stop: None,
+            placed: now,
+            running_since: None,
+            began: None,
+            ran_until: None,
+            settled: false,
+        }
+    }
+
     fn seen_to_run(&self) -> Option<Duration> {
         Some(self.ran_until?.saturating_duration_since(self.began?))
     }
@@ -249,21 +274,10 @@
                     // What runs when it is found began at some time before.
                     ours = shown.state == TaskState::Fetching;
                     self.usage = None;
-                    self.entries.entry(key.clone()).or_insert(Entry {
-                        need: Amount::default(),
-                        team: usize::MAX,
-                        urgency: Urgency::Production,
-                        image: Arc::from(""),
-                        seen: true,
-                        state: shown.state,
-                        flying: 0,
-                        stop: None,
-                        placed: now,
-                        running_since: None,
-                        began: None,
-                        ran_until: None,
-                        settled: false,
-                    })
+                    let (need, urgency) = (Amount::default(), Urgency::Production);
+                    let found = Entry::new(need, usize::MAX, urgency, Arc::from(""), now);
+                    let found = Entry { state: shown.state, ..found };
+                    self.entries.entry(key.clone()).or_insert(found)
                 }
             };
             entry.seen = true;
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -572,7 +572,7 @@
             self.plan_wanted = false;
             self.plan_at = now + PLAN_EVERY;
             if now >= self.whole_at || self.waits_for_a_pass(&state.cache) {
-                self.whole_at = now + PLAN_EVERY * 4;
+                self.whole_at = now + PLAN_WHOLE;
                 self.planned = true;
                 self.plan(&state.cache, cloud, now);
                 self.look_all = true;
--- a/src/foreman/planning.rs
+++ b/src/foreman/planning.rs
@@ -429,21 +429,8 @@
             self.low_starts.take(1.0, now);
         }
         work.placed.insert(task.index, (id.clone(), attempt));
-        let entry = Entry {
-            need: live.need,
-            team,
-            urgency,
-            image: Arc::from(live.spec.image.as_str()),
-            seen: false,
-            state: TaskState::Fetching,
-            flying: 0,
-            stop: None,
-            placed: now,
-            running_since: None,
-            began: None,
-            ran_until: None,
-            settled: false,
-        };
+        let image = Arc::from(live.spec.image.as_str());
+        let entry = Entry::new(live.need, team, urgency, image, now);
         machine.entries.insert((task, attempt), entry);
         machine.entries_changed();
         machine.owed = true;
