The simulated world moves to a package of its own; any number of controllers

Change: moved, not rewritten, to crates/standins, a file for each of store, cloud, workers, users and troubles; the number of controllers is a number of the world, no constant.

--- /dev/null
+++ b/crates/standins/src/cloud.rs
@@ -0,0 +1,116 @@
+//! The cloud.
+
+use super::*;
+
+impl World {
+    pub fn cloud(&mut self, node: usize, incarnation: u32, id: u64, call: CloudCall) {
+        if self.on_island(node) {
+            let gives_up = Event::Cloud(id, Err(CallError::Unknown));
+            return self.at(self.t + 4000, Due::Node(node, incarnation, gives_up));
+        }
+        if self.cloud_out {
+            let body = wire::encode(&wire::CloudError { error: "trouble".into() });
+            let refusal = Ok(Response::with(503, body));
+            return self.soon(Due::Node(node, incarnation, Event::Cloud(id, refusal)));
+        }
+        let response = match call {
+            CloudCall::Flavors => Response::with(
+                200,
+                wire::encode(&Flavors {
+                    flavors: vec![Flavor {
+                        name: "f".into(),
+                        cpus: 8.0,
+                        gpus: 0.0,
+                        ram_gb: 32.0,
+                        cache_gb: 20.0,
+                        fetch_gb_per_s: 1.0,
+                        price: 1.0,
+                        spot_price: 0.3,
+                        boot_s: 4.0,
+                        zones: ZONES.map(String::from).to_vec(),
+                    }],
+                }),
+            ),
+            CloudCall::Hire(kind, hire) => {
+                let known = self.hired.get(&hire.request).cloned();
+                let alike = |w: &&Worker| !w.gone && w.zone == kind.zone && w.spot == kind.spot;
+                let held = self.workers.values().filter(alike).count();
+                let most = self.capacity[usize::from(kind.spot)];
+                let room = most.saturating_sub(held).min(hire.count as usize);
+                if known.is_none() && room == 0 {
+                    let error = NO_CAPACITY.into();
+                    Response::with(503, wire::encode(&wire::CloudError { error }))
+                } else {
+                    let machines = known.unwrap_or_else(|| {
+                        (0..room).map(|_| self.rent(kind.zone, kind.spot)).collect()
+                    });
+                    self.hired.insert(hire.request, machines.clone());
+                    Response::with(200, wire::encode(&MachineNames { machines }))
+                }
+            }
+            CloudCall::Delete(machines) => {
+                for machine in machines {
+                    if let Some(worker) = self.workers.get_mut(&machine)
+                        && !worker.gone
+                    {
+                        worker.gone = true;
+                        worker.tasks_left_empty =
+                            worker.tasks.values().all(|r| r.state == TaskState::Exited);
+                        worker.tasks.clear();
+                    }
+                }
+                Response::empty(200)
+            }
+            CloudCall::List { .. } => {
+                let t = self.t;
+                let rows = self.workers.iter().filter(|(_, w)| !w.gone && w.up_at + 2000 <= t);
+                let machines = rows
+                    .map(|(id, worker)| Listed {
+                        machine: id.clone(),
+                        address: Some("127.0.0.1:7".into()),
+                        flavor: "f".into(),
+                        zone: ZONES[worker.zone].into(),
+                        spot: worker.spot,
+                        status: ListedState::Running,
+                        age_s: (t - worker.up_at) as f64 / 1000.0,
+                    })
+                    .collect();
+                Response::with(200, wire::encode(&MachinePage { machines, truncated: false }))
+            }
+        };
+        let lost = self.random.random_range(0..40) == 0;
+        let result = if lost { Err(CallError::Unknown) } else { Ok(response) };
+        self.soon(Due::Node(node, incarnation, Event::Cloud(id, result)));
+    }
+
+    pub fn rent(&mut self, zone: usize, spot: bool) -> MachineId {
+        self.next_machine += 1;
+        let id = MachineId::new(&format!("i-{:06}", self.next_machine));
+        let boot = self.random.random_range(1000..8000);
+        let never = self.bad_boots && self.random.random_range(0..3) == 0;
+        let factor = if self.bad_boots { 3 } else { 1 };
+        let up_at = if never { u64::MAX / 2 } else { self.t + boot * factor };
+        self.workers.insert(
+            id.clone(),
+            Worker {
+                zone,
+                spot,
+                up_at,
+                gone: false,
+                session: 1,
+                seq: 0,
+                token: Token(0),
+                renewed: up_at,
+                target: self.random.random_range(0..self.nodes.len()),
+                asked: None,
+                next_report: up_at,
+                changed: false,
+                images: Vec::new(),
+                tasks: BTreeMap::new(),
+                tasks_left_empty: false,
+            },
+        );
+        self.at(up_at, Due::Worker(id.clone()));
+        id
+    }
+}
--- /dev/null
+++ b/crates/standins/src/faults.rs
@@ -0,0 +1,138 @@
+//! Troubles, and days made of them.
+
+use super::*;
+
+impl World {
+    pub fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Crash(node) => self.fault(Fault::Blink(node, 4000)),
+            Fault::Blink(node, back) => {
+                self.nodes[node] = None;
+                self.incarnation[node] += 1;
+                self.tickets[node].clear();
+                self.at(self.t + back, Due::Restart(node));
+            }
+            Fault::CutNode(node, on) => self.cut_node[node] = on,
+            Fault::CutZones(on) => self.cut_zones = on,
+            Fault::Island(on) => self.island = on,
+            Fault::CutWorkers(on) => {
+                let leads =
+                    |node: &Option<Node>| node.as_ref().is_some_and(|n| n.foreman.is_some());
+                self.cut_workers = self.nodes.iter().position(leads).filter(|_| on);
+            }
+            Fault::Deaf(node, on) => self.deaf = on.then_some(node),
+            Fault::Outage(on) => {
+                self.store.out = on;
+                let t = self.t;
+                for (ms, until) in self.store.leases.values_mut() {
+                    *until = t + *ms;
+                }
+            }
+            Fault::Refused(node, on) => self.refused = on.then_some(node),
+            Fault::CloudOutage(on) => self.cloud_out = on,
+            Fault::Capacity(machines) => self.capacity = machines,
+            Fault::BadBoots(on) => self.bad_boots = on,
+            Fault::Mesh(on) => self.no_mesh = on,
+            Fault::SlowNode(node, on) => self.slow_node = on.then_some(node),
+            Fault::SlowMachines(on) => self.slow_machines = on,
+            Fault::Polls(on) => self.polls = on,
+            Fault::Stand(node, on) => {
+                self.standing[node] = on;
+                let woken = |(other, _): &mut (usize, _)| !on && *other == node;
+                for (node, effects) in self.unsent.extract_if(.., woken).collect::<Vec<_>>() {
+                    if self.nodes[node].is_some() {
+                        self.carry_out(node, effects);
+                    }
+                }
+                // Whatever queued up comes at once, in order; what is for others waits on.
+                for due in std::mem::take(&mut self.asleep) {
+                    self.step(due);
+                }
+            }
+            Fault::Down(node) => {
+                self.nodes[node] = None;
+                self.incarnation[node] += 1;
+                self.tickets[node].clear();
+                self.down[node] = true;
+                self.at(self.t + 60_000, Due::Restart(node));
+            }
+            Fault::Upgrade(node) => {
+                self.old[node] = false;
+                self.fault(Fault::Crash(node));
+            }
+            Fault::Busy(cost) => self.cost = cost,
+            Fault::Limits => self.limits = (4, 2048),
+            Fault::TakeSpot => {
+                for worker in self.workers.values_mut().filter(|w| w.spot) {
+                    worker.gone = true;
+                    worker.tasks.clear();
+                }
+            }
+            Fault::TakeMachine => {
+                if let Some(worker) = self.workers.values_mut().find(|w| !w.gone && w.spot) {
+                    worker.gone = true;
+                    worker.tasks.clear();
+                }
+            }
+        }
+        // Whatever was held back comes once its way is open again; what isn't is held anew.
+        for due in std::mem::take(&mut self.held) {
+            self.soon(due);
+        }
+    }
+
+    pub fn leader(&self) -> usize {
+        let leads = |node: &Option<Node>| node.as_ref().is_some_and(|n| n.foreman.is_some());
+        self.nodes.iter().position(leads).unwrap()
+    }
+
+    pub fn running(&self, number: u64) -> usize {
+        let id = &self.jobs[&number].spec.id;
+        let tasks = self.workers.values().flat_map(|w| &w.tasks);
+        tasks.filter(|(task, r)| task.job == *id && r.state == TaskState::Running).count()
+    }
+
+    /// Whoever led, crashed or wrote late: values are whole, and no run counts more tasks than its job has.
+    pub fn check_learned(&self) -> usize {
+        let kept = self.store.keys.range("t/e/".to_owned().."t/e0".to_owned());
+        let arrays = self.jobs.values().filter(|job| job.spec.shape != Shape::Service);
+        let most = arrays.map(|job| job.spec.tasks).max().unwrap_or(0);
+        let mut runs = 0;
+        for (key, (data, ..)) in kept {
+            let bucket = Bucket::decode(data.as_text().unwrap()).expect(key);
+            for run in bucket.runs() {
+                assert!(u64::from(run.tasks) <= most, "{key}: {run:?}");
+                runs += 1;
+            }
+        }
+        runs
+    }
+
+    pub fn day(seed: u64, faults: &[(u64, Fault)]) -> World {
+        let mut world = World::new(seed);
+        for n in 0..3 {
+            world.submit_at(3000, n, true, (n == 2).then_some(70_000));
+        }
+        for n in 3..18 {
+            let abort_at = (n % 5 == 0).then_some(n * 3000 + 6000);
+            world.submit_at(n * 3000, n, false, abort_at);
+        }
+        for (t, fault) in faults {
+            world.at(*t, Due::Fault(*fault));
+        }
+        world.run(170_000);
+        assert!(world.broken.is_empty(), "seed {seed}, {faults:?}: {:#?}", world.broken);
+        for (number, job) in &world.jobs {
+            let cancelled = job.told_cancelled.is_some();
+            match job.spec.shape {
+                Shape::Service if !cancelled => {
+                    assert_eq!(world.running(*number), 4, "seed {seed}: service {number}");
+                }
+                _ => assert!(job.told_done || cancelled, "seed {seed}: {number} is not over"),
+            }
+        }
+        let runs = world.check_learned();
+        assert!(runs > 0 || !faults.is_empty(), "seed {seed}: nothing was learned");
+        world
+    }
+}
--- /dev/null
+++ b/crates/standins/src/production.rs
@@ -0,0 +1,83 @@
+//! Production's types as they were, for what the new version writes before all controllers have it.
+//! A copy on purpose: it must not change with the code.
+
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Deserialize)]
+pub struct Spec {
+    #[serde(rename = "nameId")]
+    _id: String,
+    #[serde(rename = "runKind")]
+    _class: String,
+    #[serde(rename = "owner")]
+    _team: String,
+    #[serde(rename = "shape")]
+    _shape: String,
+    #[serde(rename = "urgency")]
+    _urgency: String,
+    #[serde(rename = "legs")]
+    _tasks: u64,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    Live,
+    Done,
+    Cancelled,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Record {
+    pub p: Phase,
+    #[serde(default, rename = "at")]
+    pub _at: u64,
+    pub s: Option<Spec>,
+    #[serde(default, rename = "d")]
+    pub _d: String,
+    #[serde(default, rename = "n")]
+    pub _n: u64,
+    #[serde(rename = "w")]
+    pub _w: Option<(String, f64, f64, f64)>,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub enum MeshMessage {
+    Beat {
+        from: String,
+        seq: u64,
+        leading: Option<u64>,
+        state_lost: bool,
+        ack: (u64, u64),
+        up_ms: u64,
+        vouched: Vec<(String, u64)>,
+        worker_ms: Option<u64>,
+    },
+    Grant {
+        seq: u64,
+        token: u64,
+        number: u64,
+        barred: Vec<String>,
+        lent: Vec<String>,
+    },
+    Pledge {
+        from: String,
+        seq: u64,
+        token: u64,
+        cancelled: Vec<String>,
+    },
+    Running {
+        token: u64,
+        counts: Vec<(String, u32)>,
+    },
+}
+
+/// Whether production reads the message as it was meant.
+pub fn reads(text: &str) -> bool {
+    let Some(bytes) = troutspindle::wire::unhex(text) else { return false };
+    let message: Result<MeshMessage, _> = postcard::from_bytes(&bytes);
+    message.is_ok_and(|message| postcard::to_stdvec(&message).is_ok_and(|same| same == bytes))
+}
+
+/// Fields that production drops when it reads or rewrites a job's record.
+pub const UNKNOWN: [&str; 3] = ["e", "x", "waitsOn"];
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,199 @@
+//! The state service.
+
+use super::*;
+
+impl World {
+    pub fn state(&mut self, node: usize, incarnation: u32, id: u64, call: StateCall) {
+        if self.on_island(node) {
+            let gives_up = Event::State(id, StateReply::Unknown);
+            if matches!(call, StateCall::Commit(_)) {
+                // Held back, and applied when the cut ends.
+                self.held.push(Due::State(node, incarnation, id, call));
+            }
+            return self.at(self.t + 1500, Due::Node(node, incarnation, gives_up));
+        }
+        let reply = if self.store.out || self.refused == Some(node) {
+            if let StateCall::Follow { after, wait } = &call
+                && !wait.is_zero()
+            {
+                let until = self.t + wait.as_millis() as u64;
+                self.store.waiting.push((node, incarnation, id, after.0, until));
+                return;
+            }
+            StateReply::Refused
+        } else {
+            match call {
+                StateCall::Follow { after, wait } => {
+                    if !wait.is_zero() && self.store.rev <= after.0 {
+                        let until = self.t + wait.as_millis() as u64;
+                        self.store.waiting.push((node, incarnation, id, after.0, until));
+                        return;
+                    }
+                    StateReply::News(self.news_for(node, after.0))
+                }
+                StateCall::Range { .. } => {
+                    let rows = self.store.keys.iter().map(|(key, (data, rev, _))| Row {
+                        key: key.clone(),
+                        data: data.clone(),
+                        rev: Revision(*rev),
+                    });
+                    let mut rows: Vec<Row> = rows.collect();
+                    if self.old[node] {
+                        rows.iter_mut().for_each(|row| row.data = self.shown(&row.key, &row.data));
+                    }
+                    StateReply::Page(Page { rows, truncated: false, rev: Revision(self.store.rev) })
+                }
+                StateCall::NewLease(life) => {
+                    self.store.next_lease += 1;
+                    let ms = life.as_millis() as u64;
+                    self.store.leases.insert(self.store.next_lease, (ms, self.t + ms));
+                    StateReply::Lease(LeaseId(self.store.next_lease))
+                }
+                StateCall::Touch(lease) => match self.store.leases.get_mut(&lease.0) {
+                    Some((ms, until)) => {
+                        *until = self.t + *ms;
+                        StateReply::Done
+                    }
+                    None => StateReply::Gone,
+                },
+                StateCall::DropLease(lease) => {
+                    self.end_lease(lease.0);
+                    StateReply::Done
+                }
+                StateCall::Commit(mut txn) => {
+                    for write in txn.writes.iter_mut().filter(|_| self.old[node]) {
+                        if let Write::Put { data, .. } = write {
+                            *data = as_production(data);
+                        }
+                    }
+                    self.commit(txn)
+                }
+            }
+        };
+        // Now and then an answer gets lost after the deed.
+        let lost = self.random.random_range(0..200) == 0;
+        let reply = if lost { StateReply::Unknown } else { reply };
+        self.soon(Due::Node(node, incarnation, Event::State(id, reply)));
+    }
+
+    /// What a node of the old version makes of a value: it has to be able to read it, and drops the
+    /// fields that it doesn't know.
+    pub fn shown(&self, key: &str, data: &Data) -> Data {
+        if key.starts_with("t/j/") {
+            let record: production::Record = data.deserialized().unwrap();
+            // It takes a live record without a description for a job that is done.
+            assert!(record.s.is_some() || record.p != production::Phase::Live, "{key}");
+        } else if key.starts_with("t/x/") && key.matches('/').count() == 3 {
+            assert!(production::reads(data.as_text().unwrap()), "{key}");
+        }
+        as_production(data)
+    }
+
+    pub fn news_for(&self, node: usize, after: u64) -> News {
+        let mut news = self.news(after);
+        for change in news.news.iter_mut().filter(|_| self.old[node]) {
+            if let (Some(key), Some(data)) = (&change.put, &mut change.data) {
+                *data = self.shown(key, data);
+            }
+        }
+        news
+    }
+
+    pub fn commit(&mut self, txn: wire::Txn) -> StateReply {
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|g| self.store.keys.get(&g.key).map_or(0, |(_, rev, _)| *rev) != g.rev.0)
+            .map(|g| g.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StateReply::Conflict(failed);
+        }
+        let (ops, bytes) = self.limits;
+        let large = |write: &Write| match write {
+            Write::Put { data, .. } => json_len(data) > bytes,
+            Write::Delete { .. } => false,
+        };
+        if txn.writes.len() > ops || txn.guards.len() > ops * 4 || txn.writes.iter().any(large) {
+            self.too_large += 1;
+            return StateReply::Invalid;
+        }
+        for write in &txn.writes {
+            if let Write::Put { hold: Some(lease), .. } = write
+                && !self.store.leases.contains_key(&lease.0)
+            {
+                return StateReply::Invalid;
+            }
+        }
+        self.store.rev += 1;
+        for write in txn.writes {
+            let rev = self.store.rev;
+            match write {
+                Write::Put { key, data, hold } => {
+                    self.store.log.push((rev, key.clone(), Some(data.clone())));
+                    self.store.keys.insert(key, (data, rev, hold.map(|l| l.0)));
+                }
+                Write::Delete { key } => {
+                    self.store.log.push((rev, key.clone(), None));
+                    self.store.keys.remove(&key);
+                }
+            }
+        }
+        self.wake_follows();
+        StateReply::Committed(Revision(self.store.rev))
+    }
+
+    pub fn news(&self, after: u64) -> News {
+        let news =
+            self.store.log.iter().filter(|(rev, _, _)| *rev > after).map(|(rev, key, data)| {
+                let (put, delete) = if data.is_some() {
+                    (Some(key.clone()), None)
+                } else {
+                    (None, Some(key.clone()))
+                };
+                Change { put, delete, data: data.clone(), rev: Revision(*rev) }
+            });
+        News { rev: Revision(self.store.rev), news: news.collect() }
+    }
+
+    pub fn wake_follows(&mut self) {
+        if self.store.out {
+            return;
+        }
+        let (t, rev) = (self.t, self.store.rev);
+        let ready: Vec<_> = self.store.waiting.extract_if(.., |w| w.3 < rev || w.4 <= t).collect();
+        for (node, incarnation, id, after, _) in ready {
+            let reply = StateReply::News(self.news_for(node, after));
+            self.soon(Due::Node(node, incarnation, Event::State(id, reply)));
+        }
+    }
+
+    pub fn end_lease(&mut self, lease: u64) {
+        self.store.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .store
+            .keys
+            .iter()
+            .filter(|(_, (_, _, hold))| *hold == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.store.rev += 1;
+            self.store.keys.remove(&key);
+            self.store.log.push((self.store.rev, key, None));
+        }
+        self.wake_follows();
+    }
+
+    pub fn end_leases(&mut self) {
+        if !self.store.out {
+            let t = self.t;
+            let ended: Vec<u64> =
+                self.store.leases.iter().filter(|(_, (_, u))| *u <= t).map(|(l, _)| *l).collect();
+            for lease in ended {
+                self.end_lease(lease);
+            }
+        }
+        self.wake_follows();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/users.rs
@@ -0,0 +1,130 @@
+//! Users, and the rules that are seen in what they are told.
+
+use super::*;
+
+impl World {
+    pub fn submit_at(&mut self, t: u64, number: u64, service: bool, abort_at: Option<u64>) {
+        let tasks = if service { 4 } else { self.random.random_range(1..9) };
+        let spec = JobSpec {
+            id: JobId::new(&format!("wk-{number}")),
+            class: if service { "s" } else { "c" }.into(),
+            team: "t".into(),
+            shape: if service { Shape::Service } else { Shape::Array },
+            urgency: if service { Urgency::Production } else { Urgency::High },
+            tasks,
+            cpus: 2.0,
+            gpus: 0.0,
+            ram_gb: 4.0,
+            image: format!("img-{}", number % 3),
+            image_gb: 1.0,
+            flavors: None,
+            zone: None,
+            one_zone: false,
+            spread: service,
+            spot: !service,
+            expect_s: 5.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            due_s: None,
+            needs: None,
+        };
+        let job = UserJob {
+            spec,
+            accepted: false,
+            abort_at,
+            asked_abort: false,
+            told_cancelled: None,
+            put_off: 0,
+            told_done: false,
+            broken: false,
+            asked: None,
+            last_good: t,
+        };
+        self.jobs.insert(number, job);
+        self.at(t, Due::User(number));
+    }
+
+    pub fn user(&mut self, number: u64) {
+        let t = self.t;
+        let job = &self.jobs[&number];
+        if job.asked.is_some_and(|(since, _)| t < since + 5000) {
+            return self.at(t + 500, Due::User(number));
+        }
+        let over = job.told_done || job.told_cancelled.is_some();
+        let id = job.spec.id.clone();
+        let needs: Vec<u64> = job.spec.needs.iter().flatten().map(Self::number).collect();
+        if needs.iter().any(|need| !self.jobs[need].accepted) {
+            return self.at(t + 200, Due::User(number));
+        }
+        let (kind, request) = if !job.accepted {
+            let body = wire::encode(&job.spec);
+            (0, Request { method: Method::Post, target: "/api/jobs".into(), body })
+        } else if !over && job.abort_at.is_some_and(|at| t >= at) {
+            let target = format!("/api/jobs/{id}/abort");
+            (2, Request { method: Method::Post, target, body: Vec::new() })
+        } else {
+            (
+                1,
+                Request {
+                    method: Method::Get,
+                    target: format!("/api/jobs/{id}"),
+                    body: Vec::new(),
+                },
+            )
+        };
+        let job = self.jobs.get_mut(&number).unwrap();
+        job.asked = Some((t, kind));
+        job.asked_abort |= kind == 2;
+        let node = self.random.random_range(0..self.nodes.len());
+        self.soon(Due::UserAsks(node, number, request));
+        let wait = if over { 20_000 } else { 1500 } / if self.polls { 8 } else { 1 };
+        self.at(t + wait, Due::User(number));
+    }
+
+    pub fn user_answer(&mut self, number: u64, asked: u64, response: &Response) {
+        let t = self.t;
+        let before = self.before(number);
+        let wanted = before.iter().any(|n| self.jobs[n].asked_abort);
+        let told = before.iter().filter_map(|n| self.jobs[n].told_cancelled).min();
+        let job = self.jobs.get_mut(&number).unwrap();
+        // An answer to a request that was given up finds its connection closed.
+        let Some((_, kind)) = job.asked.take_if(|(at, _)| *at == asked) else { return };
+        if matches!(response.status, 503 | 599) {
+            job.put_off += u32::from(kind == 2 && response.status == 503);
+            return;
+        }
+        job.last_good = t;
+        let mut wrong = Vec::new();
+        if !matches!(response.status, 200 | 201) {
+            wrong
+                .push(format!("forgotten: {} of kind {kind} got {}", job.spec.id, response.status));
+        } else {
+            let view: JobView = wire::decode(&response.body).unwrap();
+            job.accepted = true;
+            let all_done = (0..job.spec.tasks as u32).all(|index| {
+                self.finished.contains_key(&TaskId { job: job.spec.id.clone(), index })
+            });
+            if view.status == JobStatus::Done && (!all_done || job.spec.shape == Shape::Service) {
+                wrong.push(format!("not_done: {}", job.spec.id));
+            }
+            let back = (job.told_done && view.status != JobStatus::Done)
+                || (job.told_cancelled.is_some() && view.status != JobStatus::Cancelled)
+                || (view.status == JobStatus::Cancelled && !wanted);
+            let open = matches!(view.status, JobStatus::Queued | JobStatus::Running);
+            // Whoever asks after any user was told finds the job cancelled.
+            if open && told.is_some_and(|at| asked > at) {
+                wrong.push(format!("orphaned: {}", job.spec.id));
+            }
+            if back {
+                wrong.push(format!("went_back: {} to {:?}", job.spec.id, view.status));
+            }
+            job.told_done |= view.status == JobStatus::Done;
+            if view.status == JobStatus::Cancelled {
+                job.told_cancelled.get_or_insert(t);
+            }
+        }
+        for what in wrong {
+            self.break_rule(what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/workers.rs
@@ -0,0 +1,266 @@
+//! Workers, and the rules that are seen when they start tasks.
+
+use super::*;
+
+impl World {
+    pub fn worker(&mut self, id: MachineId) {
+        let t = self.t;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.gone {
+            return;
+        }
+        if t > worker.renewed + LEASE_MS {
+            worker.session += 1;
+            worker.tasks.clear();
+            worker.renewed = t;
+            worker.changed = true;
+        }
+        let outlives = |(task, running): (&TaskId, &Running)| {
+            let told = self.jobs[&Self::number(&task.job)].told_cancelled;
+            let late = told.is_some_and(|at| t > at + CANCEL_MS);
+            (late && running.state != TaskState::Exited).then(|| task.clone())
+        };
+        if let Some(task) = worker.tasks.iter().find_map(outlives) {
+            self.break_rule(format!("ran_cancelled: {task} is still there"));
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let mut finished = Vec::new();
+        for (task, running) in &mut worker.tasks {
+            if running.state == TaskState::Fetching && running.ready_at <= t {
+                running.state = TaskState::Running;
+                worker.changed = true;
+            }
+            if running.state == TaskState::Running && running.ends_at.is_some_and(|at| at <= t) {
+                running.state = TaskState::Exited;
+                running.why = Some("done".into());
+                worker.changed = true;
+                finished.push(task.clone());
+            }
+        }
+        for task in finished {
+            self.finished.insert(task, true);
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if let Some((_, _, since)) = worker.asked
+            && t > since + 4000
+        {
+            worker.asked = None;
+            worker.target = (worker.target + 1) % self.nodes.len();
+            worker.next_report = t + 1000;
+        }
+        if worker.asked.is_none() && (t >= worker.next_report || worker.changed) {
+            worker.changed = false;
+            worker.next_report = t + REPORT_MS;
+            worker.seq += 1;
+            let report = Self::report(&id, worker);
+            let (seq, session, target) = (worker.seq, worker.session, worker.target);
+            worker.asked = Some((seq, session, t));
+            self.soon(Due::Hello(target, id.clone(), wire::encode(&report), seq));
+        }
+        self.at(t + 100, Due::Worker(id));
+    }
+
+    pub fn report(id: &MachineId, worker: &Worker) -> Report {
+        let tasks = worker.tasks.iter().map(|(task, running)| ReportedTask {
+            task: task.clone(),
+            attempt: running.attempt,
+            state: running.state,
+            why: running.why.clone(),
+            saved: None,
+        });
+        Report {
+            machine: id.clone(),
+            address: "127.0.0.1:7".into(),
+            flavor: "f".into(),
+            zone: ZONES[worker.zone].into(),
+            spot: worker.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    pub fn hello_answer(&mut self, id: MachineId, seq: u64, response: Response) {
+        let t = self.t;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let Some((asked, session, since)) = worker.asked else { return };
+        if asked != seq || worker.gone {
+            return;
+        }
+        worker.asked = None;
+        if response.status != 200 {
+            match wire::decode::<Misdirected>(&response.body) {
+                Ok(to) if response.status == 421 => {
+                    worker.target = to.foreman[2..].parse().unwrap();
+                    worker.next_report = t + 300;
+                }
+                _ => {
+                    worker.target = (worker.target + 1) % self.nodes.len();
+                    worker.next_report = t + 1000;
+                }
+            }
+            return;
+        }
+        let orders: Orders = wire::decode(&response.body).unwrap();
+        if session != worker.session || orders.token < worker.token {
+            return;
+        }
+        worker.changed |= orders.token > worker.token;
+        worker.token = orders.token;
+        worker.renewed = since;
+        self.execute(&id, orders.orders);
+    }
+
+    pub fn direct(&mut self, node: usize, incarnation: u32, id: MachineId, direct: Direct) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let sent = match &direct {
+            Direct::Do(orders) => Some(orders.clone()),
+            Direct::Status => None,
+        };
+        let unknown = Event::Direct(id.clone(), sent.clone(), Err(CallError::Unknown));
+        if worker.gone || worker.up_at > self.t {
+            return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
+        }
+        let zone = worker.zone;
+        if self.apart(node, zone) {
+            self.held.push(Due::Direct(node, incarnation, id, direct));
+            return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let valid = sent.as_ref().is_none_or(|orders| {
+            orders.token >= worker.token && orders.session == Some(worker.session)
+        });
+        if let (Some(orders), true) = (&sent, valid) {
+            worker.token = orders.token;
+            self.execute(&id, orders.orders.clone());
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        worker.seq += 1;
+        let report = Self::report(&id, worker);
+        self.soon(Due::Node(node, incarnation, Event::Direct(id, sent, Ok(report))));
+    }
+
+    pub fn execute(&mut self, id: &MachineId, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.start(id, task, attempt),
+                Order::Stop { task, attempt, .. } => {
+                    let worker = self.workers.get_mut(id).unwrap();
+                    if let Some(running) = worker.tasks.get_mut(&task)
+                        && running.attempt == attempt
+                        && running.state != TaskState::Exited
+                    {
+                        running.state = TaskState::Exited;
+                        running.why = Some("halted".into());
+                        worker.changed = true;
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let worker = self.workers.get_mut(id).unwrap();
+                    if worker
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|r| r.attempt == attempt && r.state == TaskState::Exited)
+                    {
+                        worker.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn start(&mut self, id: &MachineId, task: TaskId, attempt: Attempt) {
+        let number: u64 = task.job.as_str()[3..].parse().unwrap();
+        let Some(job) = self.jobs.get(&number) else {
+            return self.break_rule(format!("{task} is of no job"));
+        };
+        let (spec, broken) = (job.spec.clone(), job.broken);
+        let late = job.told_cancelled.is_some_and(|at| self.t > at + CANCEL_MS);
+        let t = self.t;
+        let factor = if self.slow_machines { 3 } else { 1 };
+        let run_ms = self.random.random_range(2000..9000) * factor;
+        let worker = self.workers.get_mut(id).unwrap();
+        if worker.tasks.get(&task).is_some_and(|r| r.attempt == attempt) {
+            return;
+        }
+        if worker.tasks.get(&task).is_some_and(|r| r.state != TaskState::Exited) {
+            return;
+        }
+        let warm = worker.images.contains(&spec.image);
+        worker.images.push(spec.image.clone());
+        let ready_at = if warm { t } else { t + 1500 };
+        let done = self.finished.contains_key(&task);
+        let ends_at =
+            (spec.shape == Shape::Array).then_some(if done { ready_at } else { ready_at + run_ms });
+        worker.tasks.insert(
+            task.clone(),
+            Running { attempt, state: TaskState::Fetching, why: None, ready_at, ends_at },
+        );
+        if broken {
+            let running = worker.tasks.get_mut(&task).unwrap();
+            (running.state, running.why) = (TaskState::Exited, Some("error".into()));
+        }
+        worker.changed = true;
+        self.starts += 1;
+        // The rules.
+        for need in spec.needs.iter().flatten() {
+            let tasks = self.jobs[&Self::number(need)].spec.tasks as u32;
+            let done = |index| self.finished.contains_key(&TaskId { job: need.clone(), index });
+            if !(0..tasks).all(done) {
+                self.break_rule(format!("too_early: {task} before {need}"));
+            }
+        }
+        let worker = self.workers.get_mut(id).unwrap();
+        let (zone, spot) = (worker.zone, worker.spot);
+        if late {
+            self.break_rule(format!("ran_cancelled: {task}"));
+        }
+        if spot && !spec.spot {
+            self.break_rule(format!("wrong_place: {task} on spot"));
+        }
+        let mut cpus = 0.0;
+        let mut same_zone = 0;
+        let mut elsewhere = Vec::new();
+        for (other, worker) in &self.workers {
+            for (running, state) in &worker.tasks {
+                if state.state == TaskState::Exited {
+                    continue;
+                }
+                let number: u64 = running.job.as_str()[3..].parse().unwrap();
+                cpus += self.jobs[&number].spec.cpus;
+                same_zone += u64::from(running.job == task.job && worker.zone == zone);
+                if *running == task && other != id {
+                    elsewhere.push(other.clone());
+                }
+            }
+        }
+        if !elsewhere.is_empty() {
+            self.break_rule(format!("ran_twice: {task} on {id} and {elsewhere:?}"));
+        }
+        if cpus > 48.0 {
+            self.break_rule(format!("quota: {cpus}"));
+        }
+        if spec.spread && same_zone > spec.tasks.div_ceil(2) {
+            self.break_rule(format!("wrong_place: {same_zone} of {} in a zone", spec.tasks));
+        }
+    }
+
+    pub fn number(id: &JobId) -> u64 {
+        id.as_str()[3..].parse().unwrap()
+    }
+
+    /// The job itself and all that it needs, directly or through others.
+    pub fn before(&self, number: u64) -> Vec<u64> {
+        let mut all = vec![number];
+        let mut at = 0;
+        while at < all.len() {
+            let needs = self.jobs[&all[at]].spec.needs.iter().flatten();
+            let new: Vec<u64> = needs.map(Self::number).filter(|n| !all.contains(n)).collect();
+            all.extend(new);
+            at += 1;
+        }
+        all
+    }
+}
