The lease of a worker's new session counts from when it is heard of

Cause: a leader that could not act for a minute hears by an answer to a direct question that a machine is in a new session, starts tasks there, and a moment later reckons from its own last answer that the lease is over: it takes for dead what it has just started, and from then on ignores it in reports. Change: a new session counts as answered when it is heard of; it began no later.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -133,7 +133,8 @@
     pub session: u64,
     seq: u64,
     pub token: Token,
-    /// When we last gave it a valid answer; its lease cannot have been renewed later.
+    /// When we last gave it a valid answer, or first heard of its session if that was later; its lease cannot
+    /// have been renewed later.
     pub answered: Instant,
     pub heard: Option<Instant>,
     /// Barred from being vouched for, without a break since the grant of this number.
@@ -248,6 +249,9 @@
         if report.session > self.session {
             facts.extend(self.lose_all());
             self.session = report.session;
+            // Its lease counts from when it began, which was since our last answer: a leader that could not
+            // act for long once took it to be over, and what it had just started there to be dead.
+            self.answered = self.answered.max(now);
         }
         self.seq = report.seq;
         self.owed = true;
@@ -554,6 +558,20 @@
         assert!(!machine.is_empty());
     }
 
+    /// A leader that could not act for a minute hears first, by an answer to a question of its own, that the
+    /// machine is in a new session: what it starts there is alive.
+    #[test]
+    fn the_lease_of_a_new_session_counts_from_when_it_is_heard_of() {
+        let (mut machine, lease) = (machine(), Duration::from_secs(14));
+        let start = machine.answered;
+        machine.hear(&report(1, 1, &[]), OURS, start);
+        let late = start + Duration::from_secs(60);
+        assert!(machine.lease_over(None, lease, late));
+        machine.hear(&report(2, 1, &[]), OURS, late);
+        assert!(!machine.lease_over(None, lease, late + lease));
+        assert!(machine.lease_over(None, lease, late + lease * 2));
+    }
+
     #[test]
     fn a_report_held_back_beyond_its_lease_shows_only_dead_tasks() {
         let mut machine = machine();
