A promise is kept in every role; who knows nothing of the store promises nothing

Cause: the state service refuses the leader alone, another controller confirms cancellations, ends and is back, then the service is down for all. (1) The old leader had promised to stop the jobs, but a leader looked only at what pledges told it, which their givers forget when they end. (2) Controllers that had read nothing since their start pledged, so an old leader acted on without anybody who could object. (3) A cancellation that is applied late took a later absence of a sign of life for the one it had seen; and met no guard on the sign of life of the one who sent it. (4) A leader elected meanwhile got no pledge of the old one, so nobody acted in the outage and every lease ran out. Change: promises reach the foreman in whatever way they came, and replace the hold of 600 s (CANCEL_HOLD goes); pledges take a loaded cache that shows the leader's key and its sign of life, or is older than a later leader's token; without its lease a leader acts only while its own sign of life covers it or on recent news; a sign of life rewrites the version key, which never goes away and guards absences; a cancellation is guarded by its sender's own sign of life. An old leader pledges to a later one and sends workers there.

--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -61,6 +61,12 @@
                 self.fault(Fault::Crash(node));
             }
             Fault::Busy(cost) => self.cost = cost,
+            Fault::LateWrites(on) => self.late_writes = on,
+            Fault::LateReports(on) => self.late_reports = on,
+            Fault::DeafWorkers(zone, on) => self.deaf_zone = on.then_some(zone),
+            Fault::Alone(node, on) => self.alone = on.then_some(node),
+            Fault::Mute(node, on) => self.mute = on.then_some(node),
+            Fault::Unhearing(node, on) => self.unhearing = on.then_some(node),
             Fault::Limits => self.limits = (4, 2048),
             Fault::TakeSpot => {
                 for worker in self.workers.values_mut().filter(|w| w.spot) {
@@ -92,6 +98,13 @@
         tasks.filter(|(task, r)| task.job == *id && r.state == TaskState::Running).count()
     }
 
+    /// Tasks of a job that are on machines, whatever they do there.
+    pub fn on_machines(&self, number: u64) -> usize {
+        let id = &self.jobs[&number].spec.id;
+        let tasks = self.workers.values().flat_map(|w| &w.tasks);
+        tasks.filter(|(task, r)| task.job == *id && r.state != TaskState::Exited).count()
+    }
+
     /// Whoever led, crashed or wrote late: values are whole, and no run counts more tasks than its job has.
     pub fn check_learned(&self) -> usize {
         let kept = self.store.keys.range("t/e/".to_owned().."t/e0".to_owned());
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -96,6 +96,8 @@
     /// A message reaches the node, if the incarnation it was meant for still runs.
     Node(usize, u32, Event),
     State(usize, u32, u64, StateCall),
+    /// A transaction is carried out of which nobody waits for the answer any more.
+    LateWrite(wire::Txn),
     Cloud(usize, u32, u64, CloudCall),
     Direct(usize, u32, MachineId, Direct),
     /// A report reaches a node.
@@ -158,6 +160,17 @@
     Busy(u64),
     /// The state service's limits become those that settings name as the next ones.
     Limits,
+    /// A third of the transactions gets no answer, and is carried out 2 to 12 s later.
+    LateWrites(bool),
+    /// Of a third of the reports a copy arrives again, 2 to 28 s later.
+    LateReports(bool),
+    /// The reports of a zone's workers arrive; answers and direct commands to them are lost.
+    DeafWorkers(usize, bool),
+    /// A node loses the state service and the other nodes, not its workers or users.
+    Alone(usize, bool),
+    /// What a node says to the others, or they to it, is lost.
+    Mute(usize, bool),
+    Unhearing(usize, bool),
 }
 
 #[derive(Default)]
@@ -210,6 +223,8 @@
     pub told_done: bool,
     /// Submitted with a mistake: it fails wherever it runs.
     pub broken: bool,
+    /// How many of its tasks were on machines when its user was told that it is cancelled.
+    pub ran_when_told: usize,
     /// When it asked last, and for what: 0 submit, 1 poll, 2 abort.
     pub asked: Option<(u64, u8)>,
     pub last_good: u64,
@@ -260,6 +275,20 @@
     /// Milliseconds that each event takes, and what waits for each node.
     pub cost: u64,
     pub lines: Vec<VecDeque<Due>>,
+    pub late_writes: bool,
+    pub late_reports: bool,
+    pub deaf_zone: Option<usize>,
+    pub alone: Option<usize>,
+    pub mute: Option<usize>,
+    pub unhearing: Option<usize>,
+    /// Tasks of arrays run longer than any day.
+    pub long_tasks: bool,
+    /// Users ask this node alone to cancel their jobs.
+    pub abort_at: Option<usize>,
+    /// A node ends once it has told a user that a job is cancelled, and is back after so many milliseconds.
+    pub forgets: Option<u64>,
+    /// When each node answered a worker last with orders.
+    pub answered: Vec<u64>,
     pub broken: Vec<String>,
     pub starts: u64,
     /// Transactions that went beyond the limits.
@@ -321,6 +350,16 @@
             held: Vec::new(),
             cost: 0,
             lines: std::iter::repeat_with(VecDeque::new).take(count).collect(),
+            late_writes: false,
+            late_reports: false,
+            deaf_zone: None,
+            alone: None,
+            mute: None,
+            unhearing: None,
+            long_tasks: false,
+            abort_at: None,
+            forgets: None,
+            answered: vec![0; count],
             broken: Vec::new(),
             starts: 0,
             too_large: 0,
@@ -449,6 +488,8 @@
                 }
             }
             Due::State(node, incarnation, id, call) => self.state(node, incarnation, id, call),
+            Due::LateWrite(txn) if self.store.out => self.at(self.t + 1000, Due::LateWrite(txn)),
+            Due::LateWrite(txn) => drop(self.commit(txn)),
             Due::Cloud(node, incarnation, id, call) => self.cloud(node, incarnation, id, call),
             Due::Direct(node, incarnation, machine, direct) => {
                 self.direct(node, incarnation, machine, direct);
@@ -524,11 +565,17 @@
                     Some(Ticket::Hello(machine, id))
                         if !self.apart(node, self.workers[&machine].zone) =>
                     {
-                        self.soon(Due::HelloAnswer(machine, id, response));
+                        if response.status == 200 {
+                            self.answered[node] = self.t;
+                        }
+                        if self.deaf_zone != Some(self.workers[&machine].zone) {
+                            self.soon(Due::HelloAnswer(machine, id, response));
+                        }
                     }
                     Some(Ticket::User(job, asked))
                         if !self.cut_node[node] && !self.on_island(node) =>
                     {
+                        self.forget(node, job, &response);
                         self.soon(Due::UserAnswer(job, asked, response));
                     }
                     _ => {}
@@ -543,12 +590,22 @@
         }
     }
 
+    /// A node that confirms a cancellation may end right afterwards, with all that it remembers.
+    fn forget(&mut self, node: usize, job: u64, response: &Response) {
+        let Some(back) = self.forgets else { return };
+        let aborts = self.jobs[&job].asked.is_some_and(|(_, kind)| kind == 2);
+        if aborts && response.status == 200 && self.refused != Some(node) {
+            self.at(self.t, Due::Fault(Fault::Blink(node, back)));
+        }
+    }
+
     pub fn mesh(&mut self, from: usize, to: &NodeName, message: MeshMessage) {
         let to: usize = to.as_str()[2..].parse().unwrap();
         let text = troutspindle::mesh::to_text(&message).unwrap();
         assert!(!self.old[to] || production::reads(&text), "production cannot read {message:?}");
         let due = Due::Node(to, self.incarnation[to], Event::Mesh(message));
-        if self.no_mesh {
+        let alone = [Some(from), Some(to)].contains(&self.alone);
+        if self.no_mesh || alone || self.mute == Some(from) || self.unhearing == Some(to) {
             return;
         }
         if self.cut(from, Self::node_zone(to)) || self.cut_node[to] {
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -4,7 +4,7 @@
 
 impl World {
     pub fn state(&mut self, node: usize, incarnation: u32, id: u64, call: StateCall) {
-        if self.on_island(node) {
+        if self.on_island(node) || self.alone == Some(node) {
             let gives_up = Event::State(id, StateReply::Unknown);
             if matches!(call, StateCall::Commit(_)) {
                 // Held back, and applied when the cut ends.
@@ -12,6 +12,18 @@
             }
             return self.at(self.t + 1500, Due::Node(node, incarnation, gives_up));
         }
+        if self.late_writes
+            && !self.store.out
+            && self.refused != Some(node)
+            && matches!(call, StateCall::Commit(_))
+            && self.random.random_range(0..3) == 0
+        {
+            let StateCall::Commit(txn) = call else { return };
+            let later = self.t + self.random.random_range(2000..12_000);
+            self.at(later, Due::LateWrite(txn));
+            let gives_up = Event::State(id, StateReply::Unknown);
+            return self.at(self.t + 1500, Due::Node(node, incarnation, gives_up));
+        }
         let reply = if self.store.out || self.refused == Some(node) {
             if let StateCall::Follow { after, wait } = &call
                 && !wait.is_zero()
@@ -161,7 +173,11 @@
             return;
         }
         let (t, rev) = (self.t, self.store.rev);
-        let ready: Vec<_> = self.store.waiting.extract_if(.., |w| w.3 < rev || w.4 <= t).collect();
+        let ready: Vec<_> = self
+            .store
+            .waiting
+            .extract_if(.., |w| self.refused != Some(w.0) && (w.3 < rev || w.4 <= t))
+            .collect();
         for (node, incarnation, id, after, _) in ready {
             let reply = StateReply::News(self.news_for(node, after));
             self.soon(Due::Node(node, incarnation, Event::State(id, reply)));
--- a/crates/standins/src/users.rs
+++ b/crates/standins/src/users.rs
@@ -34,6 +34,7 @@
             abort_at,
             asked_abort: false,
             told_cancelled: None,
+            ran_when_told: 0,
             put_off: 0,
             told_done: false,
             broken: false,
@@ -75,7 +76,8 @@
         let job = self.jobs.get_mut(&number).unwrap();
         job.asked = Some((t, kind));
         job.asked_abort |= kind == 2;
-        let node = self.random.random_range(0..self.nodes.len());
+        let any = self.random.random_range(0..self.nodes.len());
+        let node = self.abort_at.filter(|_| kind == 2).unwrap_or(any);
         self.soon(Due::UserAsks(node, number, request));
         let wait = if over { 20_000 } else { 1500 } / if self.polls { 8 } else { 1 };
         self.at(t + wait, Due::User(number));
@@ -86,6 +88,7 @@
         let before = self.before(number);
         let wanted = before.iter().any(|n| self.jobs[n].asked_abort);
         let told = before.iter().filter_map(|n| self.jobs[n].told_cancelled).min();
+        let on_machines = self.on_machines(number);
         let job = self.jobs.get_mut(&number).unwrap();
         // An answer to a request that was given up finds its connection closed.
         let Some((_, kind)) = job.asked.take_if(|(at, _)| *at == asked) else { return };
@@ -119,8 +122,9 @@
                 wrong.push(format!("went_back: {} to {:?}", job.spec.id, view.status));
             }
             job.told_done |= view.status == JobStatus::Done;
-            if view.status == JobStatus::Cancelled {
-                job.told_cancelled.get_or_insert(t);
+            if view.status == JobStatus::Cancelled && job.told_cancelled.is_none() {
+                job.told_cancelled = Some(t);
+                job.ran_when_told = on_machines;
             }
         }
         for what in wrong {
--- a/crates/standins/src/workers.rs
+++ b/crates/standins/src/workers.rs
@@ -55,7 +55,14 @@
             let report = Self::report(&id, worker);
             let (seq, session, target) = (worker.seq, worker.session, worker.target);
             worker.asked = Some((seq, session, t));
-            self.soon(Due::Hello(target, id.clone(), wire::encode(&report), seq));
+            let body = wire::encode(&report);
+            if self.late_reports && self.random.random_range(0..3) == 0 {
+                // Nobody reads the answer to a copy: it bears a number that no question has.
+                let later = t + self.random.random_range(2000..28_000);
+                let node = self.random.random_range(0..self.nodes.len());
+                self.at(later, Due::Hello(node, id.clone(), body.clone(), 0));
+            }
+            self.soon(Due::Hello(target, id.clone(), body, seq));
         }
         self.at(t + 100, Due::Worker(id));
     }
@@ -124,6 +131,9 @@
             return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
         }
         let zone = worker.zone;
+        if self.deaf_zone == Some(zone) {
+            return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
+        }
         if self.apart(node, zone) {
             self.held.push(Due::Direct(node, incarnation, id, direct));
             return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
@@ -192,8 +202,11 @@
         worker.images.push(spec.image.clone());
         let ready_at = if warm { t } else { t + 1500 };
         let done = self.finished.contains_key(&task);
-        let ends_at =
-            (spec.shape == Shape::Array).then_some(if done { ready_at } else { ready_at + run_ms });
+        let ends_at = (spec.shape == Shape::Array && !self.long_tasks).then_some(if done {
+            ready_at
+        } else {
+            ready_at + run_ms
+        });
         worker.tasks.insert(
             task.clone(),
             Running { attempt, state: TaskState::Fetching, why: None, ready_at, ends_at },
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -360,6 +360,3 @@
 pub const PROMISE_AGAIN: Duration = Duration::from_millis(300);
 /// An answer to such a question that comes later than this counts for nothing.
 pub const PROMISE_LATE: Duration = Duration::from_secs(10);
-/// How long a leader that said where a job's tasks are starts no more of them, unless it is cancelled
-/// before; what it said counts for half of that. Transactions may be applied minutes late.
-pub const CANCEL_HOLD: Duration = Duration::from_secs(600);
--- a/src/election.rs
+++ b/src/election.rs
@@ -96,21 +96,30 @@
             && self.pledges.values().all(|until| now < *until)
     }
 
-    /// Whether this process may act for the controllers now.
-    pub fn may_act(&self, now: Instant) -> bool {
-        self.by_lease(now) || self.by_pledge(now)
+    /// Whether this process may act for the controllers now. Without its lease it takes the others' promises,
+    /// and that it knows of all that was cancelled before (`informed`).
+    pub fn may_act(&self, informed: bool, now: Instant) -> bool {
+        self.by_lease(now) || (informed && self.by_pledge(now))
     }
 
-    /// A leader asks for our promise. It is refused while a campaign of ours has no verdict, or
-    /// when we know of a later leader.
-    pub fn pledge(&mut self, token: Token, cache: &Cache, now: Instant) -> bool {
-        let open = matches!(self.role, Role::Follower);
-        let newest = cache.token.0;
-        if !open || token < newest {
+    /// A leader asks for our promise not to campaign. The promise also tells it that nothing was cancelled
+    /// that it can't know of, so it is refused while a campaign of ours has no verdict, when we know of a
+    /// later leader, and when the leader's key is gone or its sign of life is (`shown`: whether it is there):
+    /// then others may have gone on without it. A process that has read nothing from the store since it
+    /// started can't know what its earlier life and others did, and promises nothing.
+    pub fn pledge(&mut self, token: Token, cache: &Cache, shown: bool, now: Instant) -> bool {
+        // One that led before, and has not heard of its successor from the store yet, won't campaign either.
+        let open = match self.role {
+            Role::Follower => true,
+            Role::Leading { token: ours, .. } => ours < token,
+            _ => false,
+        };
+        if !open || !cache.loaded {
             return false;
         }
-        // Seen through a working store, a leader without its key has lost its right.
-        let stands = !cache.loaded || cache.leader.as_ref().is_some_and(|(l, _)| l.token == token);
+        // What we know is older than a leader with a newer token, who has read all of it.
+        let stands = token > cache.token.0
+            || (shown && cache.leader.as_ref().is_some_and(|(l, _)| l.token == token));
         if stands {
             self.pledged_until = self.pledged_until.max(now + PLEDGE);
         }
@@ -310,8 +319,8 @@
         let call = election.poll(&cache, false, now).remove(0);
         let late = now + Duration::from_secs(1);
         election.on_reply(&call, now, &StateReply::Done, &cache, late);
-        assert!(election.may_act(now + LEADER_LEASE - LEASE_MARGIN * 2));
-        assert!(!election.may_act(now + LEADER_LEASE - LEASE_MARGIN));
+        assert!(election.may_act(true, now + LEADER_LEASE - LEASE_MARGIN * 2));
+        assert!(!election.may_act(true, now + LEADER_LEASE - LEASE_MARGIN));
     }
 
     #[test]
@@ -319,10 +328,10 @@
         let (mut election, _, now) = leader(Instant::now());
         let late = now + LEADER_LEASE * 2;
         election.pledged_by(&NodeName::new("b"), late);
-        assert!(!election.may_act(late));
+        assert!(!election.may_act(true, late));
         election.pledged_by(&NodeName::new("c"), late);
-        assert!(election.may_act(late));
-        assert!(!election.may_act(late + PLEDGE));
+        assert!(election.may_act(true, late));
+        assert!(!election.may_act(true, late + PLEDGE));
     }
 
     #[test]
@@ -334,14 +343,14 @@
         cache.token = (Token(1), Revision(3));
         let mut follower = Election::new(NodeName::new("b"), 2, 0, now);
         cache.leader = cache.leader.take();
-        assert!(follower.pledge(Token(1), &cache, now + PLEDGE));
+        assert!(follower.pledge(Token(1), &cache, true, now + PLEDGE));
         cache.leader = None;
         assert!(follower.poll(&cache, false, now + PLEDGE * 2 - TICK_MOST).is_empty());
         // A leader whose key is seen to be gone gets no further promise.
-        assert!(!follower.pledge(Token(1), &cache, now + PLEDGE));
+        assert!(!follower.pledge(Token(1), &cache, true, now + PLEDGE));
         assert_eq!(follower.poll(&cache, false, now + PLEDGE * 2 + TICK_MOST).len(), 1);
         // With a campaign under way it gets none either.
-        assert!(!follower.pledge(Token(1), &cache, now + PLEDGE * 2 + TICK_MOST));
+        assert!(!follower.pledge(Token(1), &cache, true, now + PLEDGE * 2 + TICK_MOST));
         let mut restarted = Election::new(NodeName::new("c"), 2, 0, now);
         assert!(restarted.poll(&cache, false, now + PLEDGE - TICK_MOST).is_empty());
     }
@@ -351,10 +360,10 @@
         let now = Instant::now();
         let cache = loaded();
         let (mut election, commit) = alone(&cache, now);
-        assert!(!election.may_act(now));
+        assert!(!election.may_act(true, now));
         let reply = StateReply::Committed(Revision(3));
         election.on_reply(&commit, now, &reply, &cache, now);
-        assert!(election.may_act(now + LEADER_LEASE * 5));
+        assert!(election.may_act(true, now + LEADER_LEASE * 5));
     }
 
     #[test]
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -244,11 +244,9 @@
     /// and not committed; those that no longer are leave at the next look.
     unrecorded: BTreeSet<MachineId>,
     completing: BTreeSet<JobId>,
-    /// Jobs that another controller told users to be cancelled, while the cache still has them
-    /// as live: nothing of theirs is started any more.
+    /// Jobs that this process promised to stop or that others told users to be cancelled, while the cache
+    /// still has them as live: nothing of theirs is started any more.
     told_cancelled: HashSet<JobId>,
-    /// Jobs that users ask to cancel: none of theirs is started until then.
-    held: HashMap<JobId, Instant>,
     images: HashMap<Arc<str>, u32>,
     /// Kinds that refused: until when each is left alone, and how many to ask for then.
     scarce: HashMap<Kind, (Instant, u32)>,
@@ -341,7 +339,6 @@
             unrecorded: BTreeSet::new(),
             completing: BTreeSet::new(),
             told_cancelled: HashSet::new(),
-            held: HashMap::new(),
             images: HashMap::new(),
             scarce: HashMap::new(),
             buried: HashSet::new(),
@@ -456,11 +453,9 @@
         Some(self.token)
     }
 
-    /// In which zones a job may have tasks. None are started elsewhere for a while, so that a user who
-    /// cancels it need not wait for a zone that has none.
-    pub fn zones_of(&mut self, id: &JobId, cache: &Cache, now: Instant) -> Vec<String> {
-        self.held.retain(|_, until| now < *until);
-        self.held.insert(id.clone(), now + CANCEL_HOLD);
+    /// In which zones a job may have tasks. It is asked for with the promise to stop them, so none are started
+    /// elsewhere, and a user who cancels it need not wait for a zone that has none.
+    pub fn zones_of(&self, id: &JobId, cache: &Cache) -> Vec<String> {
         let old = self.work.get(id).is_none_or(|work| work.old);
         let attempts = attempts_of(id);
         let names = &self.settings.platform.params.zones;
--- a/src/foreman/keeping.rs
+++ b/src/foreman/keeping.rs
@@ -50,12 +50,13 @@
         self.plan_wanted = true;
     }
 
-    /// Jobs that another controller told its users to be cancelled. While the store is out of
-    /// reach this is the only way to learn of them.
+    /// Jobs that this process promised to stop. While the store is out of reach this is the only way to
+    /// learn of them; one that is not known yet was accepted a moment ago.
     pub fn on_told_cancelled(&mut self, ids: &[JobId], cache: &Cache) {
         for id in ids {
-            if self.live(cache, id).is_some() {
-                tracing::info!(job = %id, "cancelled, as another controller tells");
+            let open = cache.jobs.get(id).is_none_or(|job| job.live().is_some());
+            if open && !self.told_cancelled.contains(id) {
+                tracing::debug!(job = %id, "about to be cancelled, stopped");
                 // Remembered, not only forgotten as work: the end of one of its tasks would
                 // otherwise make it new work, none of whose tasks seem to run anywhere.
                 self.told_cancelled.insert(id.clone());
--- a/src/foreman/planning.rs
+++ b/src/foreman/planning.rs
@@ -281,10 +281,6 @@
         self.waits.clear();
         for Claim { age: at, beyond, .. } in order {
             let (id, job) = live[at];
-            if let Some(until) = self.held.get(id).filter(|until| now < **until) {
-                wake = wake.iter().chain([until]).min().copied();
-                continue;
-            }
             let team = self.teams[&job.spec.team];
             let within = placement::copies(&team_room[team], &job.need);
             let waiting = self.work[id].waiting(job);
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,7 +8,7 @@
 use crate::election::{Election, ElectionEvent};
 use crate::foreman::{Direct, Foreman};
 use crate::http::{self, CallError, Client, Incoming, Method, Request, Response};
-use crate::ids::{JobId, MachineId, NodeName, Revision};
+use crate::ids::{JobId, MachineId, NodeName, Revision, Token};
 use crate::jobs;
 use crate::limits::{Ceiling, Inbox, Need, Pace, Sockets, come_back_s, read_together};
 use crate::mesh::{self, MeshMessage, Pieces};
@@ -102,6 +102,8 @@
     /// Relayed messages of which some pieces have come.
     pieces: HashMap<NodeName, Pieces>,
     started: Instant,
+    /// The highest token under which another controller told that it leads, and who that was.
+    leads: Option<(Token, NodeName)>,
     /// When anything was handled last, and when this process last went on after standing still.
     handled: Instant,
     woke: Instant,
@@ -147,6 +149,7 @@
             presence: Presence::new(&p.host_name, now),
             pieces: HashMap::new(),
             started: now,
+            leads: None,
             handled: now,
             woke: now,
             relay_at: now,
@@ -281,7 +284,7 @@
             return Response::empty(404);
         }
         match &self.foreman {
-            Some(foreman) if self.election.may_act(now) => {
+            Some(foreman) if self.may_act(now) => {
                 Response::with(200, serde_json::to_vec(&tell(foreman)).unwrap_or_default())
             }
             _ => Response::empty(421),
@@ -294,7 +297,7 @@
         }
         let cache = &self.state.cache;
         let found = match &self.foreman {
-            Some(foreman) if self.election.may_act(now) => foreman.drains(cache, now),
+            Some(foreman) if self.may_act(now) => foreman.drains(cache, now),
             _ => crate::foreman::drains::list(cache, self.api.wall, now),
         };
         Response::with(200, serde_json::to_vec(&found).unwrap_or_default())
@@ -415,7 +418,7 @@
             self.worker_here = Some(now);
         }
         // Checked anew for each answer: time has passed since the last look.
-        if self.election.may_act(now)
+        if self.may_act(now)
             && let Some(foreman) = &mut self.foreman
         {
             return match foreman.on_report(&report, &self.state.cache, now) {
@@ -430,36 +433,59 @@
         if let Some(orders) = self.vouch(&report, now) {
             return Response::with(200, wire::encode(&orders));
         }
-        match &self.state.cache.leader {
-            Some((leader, _)) if leader.node != self.settings.platform.host_name => {
-                let foreman = leader.node.to_string();
+        let leader = self.state.cache.leader.as_ref().map(|(leader, _)| &leader.node);
+        match self.later_leader(now).or(leader) {
+            Some(node) if *node != self.settings.platform.host_name => {
+                let foreman = node.to_string();
                 Response::with(421, wire::encode(&Misdirected { foreman }))
             }
             _ => Response::later(503),
         }
     }
 
+    /// How old news of the store may be for any worker to be answered: whatever was cancelled since still has
+    /// its time.
+    fn has_news(&self, now: Instant) -> bool {
+        let workers = &self.settings.platform.params.workers;
+        let blind = Duration::from_secs_f64((workers.cancel_s - workers.lease_s).max(0.0));
+        let within = blind.saturating_sub(VOUCH_MARGIN);
+        self.state.synced_at.is_some_and(|at| now.saturating_duration_since(at) <= within)
+    }
+
+    /// Whether this process may act for the controllers now. In an outage a leader knows of all that was
+    /// cancelled before if its own sign of life covers it, since each other controller promises only while
+    /// that stands; without one it acts on recent news alone.
+    fn may_act(&self, now: Instant) -> bool {
+        let informed = self.presence.covers(self.state.synced_at) || self.has_news(now);
+        self.election.may_act(informed, now)
+    }
+
+    /// A later leader than the store told of so far, which spoke for itself a moment ago.
+    fn later_leader(&self, now: Instant) -> Option<&NodeName> {
+        let (token, node) = self.leads.as_ref()?;
+        let near = |view: &PeerView| now.saturating_duration_since(view.heard) < VOUCH_AFTER;
+        (*token > self.state.cache.token.0 && self.peers.get(node).is_some_and(near))
+            .then_some(node)
+    }
+
     /// An answer on behalf of a leader that is out of reach, which keeps the worker's lease. It
     /// starts nothing, and stops what is known to be cancelled: else tasks could outlive their
     /// cancellation. So it takes recent news of the store or, for the workers of this zone, a sign of
     /// life there not too long ago: nothing was cancelled since without our promise.
     fn vouch(&mut self, report: &Report, now: Instant) -> Option<Orders> {
-        let platform = &self.settings.platform;
-        let workers = &platform.params.workers;
-        let blind = Duration::from_secs_f64((workers.cancel_s - workers.lease_s).max(0.0));
-        let synced = self.state.synced_at?;
-        let news = now.saturating_duration_since(synced) <= blind.saturating_sub(VOUCH_MARGIN);
-        let sign = self.presence.answers_until(Some(synced)).is_some_and(|until| now < until);
-        if !(news || sign && report.zone == platform.location) {
+        let sign = self.presence.answers_until(self.state.synced_at);
+        let sign = sign.is_some_and(|until| now < until);
+        if !(self.has_news(now) || sign && report.zone == self.settings.platform.location) {
             return None;
         }
         let newest = self.state.cache.token.0;
         let near = |view: &PeerView| now.saturating_duration_since(view.heard) < VOUCH_AFTER;
-        let alone = !self.peers.values().any(near);
+        let alone = !self.peers.values().any(near)
+            || self.state.lost(now) && self.later_leader(now).is_none();
         let token = match &mut self.foreman {
             None => self.voucher.answer(&report.machine, newest, now)?,
             // A leader that lost its right answers as those do to whom it gave theirs, but only where it
-            // is alone: else it would hold workers that others can serve.
+            // is alone or out of the store's reach: else it would hold workers that others can serve.
             Some(foreman) if foreman.token >= newest && alone => {
                 let token = foreman.vouch(&report.machine, now)?;
                 // A successor has to learn of it.
@@ -494,10 +520,9 @@
         now: Instant,
     ) {
         self.api.given.promise(&jobs);
-        let acts = self.election.may_act(now);
-        let placed = self.foreman.as_mut().filter(|_| acts).map(|foreman| {
-            let zones =
-                jobs.iter().map(|id| foreman.zones_of(id, &self.state.cache, now)).collect();
+        let acts = self.may_act(now);
+        let placed = self.foreman.as_ref().filter(|_| acts).map(|foreman| {
+            let zones = jobs.iter().map(|id| foreman.zones_of(id, &self.state.cache)).collect();
             (foreman.leader_rev(), zones)
         });
         let me = self.settings.platform.host_name.clone();
@@ -521,14 +546,14 @@
             jobs.insert(job.clone());
             by_peer.entry(peer).or_default().push(job);
         }
-        if self.election.may_act(now)
-            && let Some(foreman) = &mut self.foreman
+        if self.may_act(now)
+            && let Some(foreman) = &self.foreman
         {
             // The leader need not ask itself where their tasks are.
             self.mesh_seq += 1;
             self.api.promises.ask(self.mesh_seq, now);
             for id in &jobs {
-                let zones = foreman.zones_of(id, &self.state.cache, now);
+                let zones = foreman.zones_of(id, &self.state.cache);
                 self.api.promises.placed(foreman.leader_rev(), self.mesh_seq, id, zones);
             }
             self.look_at_promises(now);
@@ -609,7 +634,12 @@
                         PeerView { heard: now, state_lost, up: Duration::from_millis(up_ms) },
                     );
                 }
-                if self.election.may_act(now)
+                if let Some(token) = leading
+                    && self.leads.as_ref().is_none_or(|(newest, _)| *newest < token)
+                {
+                    self.leads = Some((token, from.clone()));
+                }
+                if self.may_act(now)
                     && let Some(foreman) = &mut self.foreman
                 {
                     let up = Duration::from_millis(up_ms);
@@ -624,7 +654,7 @@
                 }
                 if let Some(token) = leading
                     && direct
-                    && self.election.pledge(token, &self.state.cache, now)
+                    && self.pledge(token, &from, now)
                 {
                     let cancelled = self.api.cancelled.iter().map(|(id, _)| id.clone());
                     let pledge = MeshMessage::Pledge {
@@ -640,9 +670,7 @@
                 let asked = self.asked.iter().find(|(s, _)| *s == seq).map(|(_, at)| *at);
                 let ours = self.election.token() == Some(token);
                 if let (Some(asked), true) = (asked, ours) {
-                    if let Some(foreman) = &mut self.foreman {
-                        foreman.on_told_cancelled(&cancelled, &self.state.cache);
-                    }
+                    self.api.given.promise(&cancelled);
                     self.election.pledged_by(&from, asked);
                 }
             }
@@ -673,6 +701,15 @@
         }
     }
 
+    /// Whether we promise a leader that asks not to campaign. All controllers read signs of life by then, or it
+    /// is not asked for its own.
+    fn pledge(&mut self, token: Token, to: &NodeName, now: Instant) -> bool {
+        let cache = &self.state.cache;
+        let shown =
+            self.state.layout().format < FORMAT_PRESENCE || cache.presences.contains_key(to);
+        self.election.pledge(token, cache, shown, now)
+    }
+
     fn look_at_promises(&mut self, now: Instant) {
         for (ticket, response) in self.api.on_promised(&mut self.state, now) {
             self.reply(ticket, response);
@@ -916,7 +953,7 @@
             for call in self.election.poll(&self.state.cache, lost, now) {
                 self.state.election(call, now);
             }
-            let act = self.election.may_act(now);
+            let act = self.may_act(now);
             if act != self.may_act {
                 self.may_act = act;
                 if self.foreman.is_some() {
@@ -956,13 +993,21 @@
         if self.state.layout().format >= FORMAT_PRESENCE && cache.loaded {
             let me = &self.settings.platform.host_name;
             let seen = cache.presences.get(me).copied().unwrap_or_default();
-            if let Some(call) = self.presence.poll(seen, now) {
+            let me = self.presence.key().to_owned();
+            self.api.promises.under(me, self.presence.revision());
+            let version = self.state.cache.versions.get(&self.settings.platform.host_name);
+            if let Some(call) = self.presence.poll(seen, version, now) {
                 self.state.presence(call, now);
             }
         }
         if !self.api.asks.is_empty() {
             self.ask_promises(now);
         }
+        // A promise is kept in whatever role workers are answered.
+        let promised = self.api.given.news();
+        if let Some(foreman) = self.foreman.as_mut().filter(|_| !promised.is_empty()) {
+            foreman.on_told_cancelled(&promised, &self.state.cache);
+        }
     }
 
     fn lost(&mut self, why: &'static str, now: Instant) {
@@ -1041,7 +1086,8 @@
         }
         let cache = &self.state.cache;
         let (settings, wall) = (self.settings.clone(), self.api.wall);
-        let foreman = Foreman::new(token, *rev, settings, cache, wall, now);
+        let mut foreman = Foreman::new(token, *rev, settings, cache, wall, now);
+        foreman.on_told_cancelled(&self.api.given.all(), cache);
         tracing::info!(%token, machines = foreman.machines.len(), "leading");
         self.cloud.lead(token, now);
         self.foreman = Some(foreman);
@@ -1234,7 +1280,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::ids::Token;
     use crate::records::{FORMAT, VersionRecord};
 
     /// Two grants relayed in pieces within one beat once had one number: the second's number would
--- a/src/presence.rs
+++ b/src/presence.rs
@@ -10,6 +10,7 @@
 
 use crate::constants::*;
 use crate::ids::{JobId, LeaseId, NodeName, Revision};
+use crate::records::{self, VersionRecord};
 use crate::state::{Cache, PRESENCE_PREFIX, StateCall, StateReply};
 use crate::wire::{Data, Guard, Txn, Write};
 use foldhash::HashMap;
@@ -33,6 +34,7 @@
 /// This controller's own key.
 #[derive(Debug)]
 pub struct Presence {
+    me: NodeName,
     key: String,
     stage: Stage,
     in_flight: bool,
@@ -45,27 +47,47 @@
 impl Presence {
     pub fn new(me: &NodeName, now: Instant) -> Presence {
         let key = presence_key(me);
-        Presence { key, stage: Stage::Absent, in_flight: false, due: now, renewed: now }
+        let (me, stage) = (me.clone(), Stage::Absent);
+        Presence { me, key, stage, in_flight: false, due: now, renewed: now }
     }
 
-    /// The next call of the store, if one is due. `seen` is the key's revision in the cache.
-    pub fn poll(&mut self, seen: Revision, now: Instant) -> Option<StateCall> {
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// The next call of the store, if one is due. `seen` is the key's revision in the cache, and `version`
+    /// what this controller told of the format that it reads: written anew with each new sign of life. That
+    /// key never goes away, so its revision tells an absence from one that came after another life.
+    pub fn poll(
+        &mut self,
+        seen: Revision,
+        version: Option<&(VersionRecord, Revision)>,
+        now: Instant,
+    ) -> Option<StateCall> {
         if self.in_flight || now < self.due {
             return None;
         }
-        self.in_flight = true;
-        Some(match self.stage {
+        let call = match self.stage {
             Stage::Absent => StateCall::NewLease(PRESENCE_LEASE),
-            Stage::Leased(lease, _) => StateCall::Commit(Txn {
-                guards: vec![Guard { key: self.key.clone(), rev: seen }],
-                writes: vec![Write::Put {
-                    key: self.key.clone(),
-                    data: Data::Bool(true),
-                    hold: Some(lease),
-                }],
-            }),
+            Stage::Leased(lease, _) => {
+                let (record, told) = version?;
+                let epoch = records::version_key(&self.me);
+                let put = |key: &str, data, hold| Write::Put { key: key.into(), data, hold };
+                StateCall::Commit(Txn {
+                    guards: vec![
+                        Guard { key: self.key.clone(), rev: seen },
+                        Guard { key: epoch.clone(), rev: *told },
+                    ],
+                    writes: vec![
+                        put(&self.key, Data::Bool(true), Some(lease)),
+                        put(&epoch, records::data(record), None),
+                    ],
+                })
+            }
             Stage::Held(lease, ..) => StateCall::Touch(lease),
-        })
+        };
+        self.in_flight = true;
+        Some(call)
     }
 
     pub fn on_reply(&mut self, call: &StateCall, sent: Instant, reply: &StateReply, now: Instant) {
@@ -103,15 +125,16 @@
         }
     }
 
+    /// Whether all that is cancelled while the key stands is known here: what the store held when it was
+    /// asked at `synced`, together with promises given since.
+    pub fn covers(&self, synced: Option<Instant>) -> bool {
+        matches!(self.stage, Stage::Held(_, _, known) if synced.is_some_and(|at| at > known))
+    }
+
     /// Until when workers may be answered with no news of the store: what it held when it was asked
     /// at `synced`, together with promises given since, is all that can be cancelled by then.
     pub fn answers_until(&self, synced: Option<Instant>) -> Option<Instant> {
-        match self.stage {
-            Stage::Held(_, _, known) if synced? > known => {
-                Some(self.renewed + VOUCH.mul_f64(1.0 - DRIFT))
-            }
-            _ => None,
-        }
+        self.covers(synced).then(|| self.renewed + VOUCH.mul_f64(1.0 - DRIFT))
     }
 }
 
@@ -136,14 +159,17 @@
 #[derive(Debug)]
 pub struct Promises {
     peers: Vec<NodeName>,
+    /// This controller's own key, and the revision under which it knows what it asked for itself: what an
+    /// earlier life of it sent must not be applied once a later one, which doesn't know, answers workers.
+    own: Option<Guard>,
     seen: HashMap<NodeName, Seen>,
     /// Under which key each promise was given, and when it had been asked for.
     given: BTreeMap<JobId, BTreeMap<NodeName, (Revision, Instant)>>,
     /// Questions of late, and when each was asked.
     asked: VecDeque<(u64, Instant)>,
-    /// What the leader says: under which leader key, and which zones a job may have tasks in. It
-    /// starts none elsewhere for a while.
-    placed: BTreeMap<JobId, (Revision, Vec<String>, Instant)>,
+    /// What the leader says: under which leader key, and which zones a job may have tasks in. It has
+    /// promised as well, and starts none any more.
+    placed: BTreeMap<JobId, (Revision, Vec<String>)>,
     /// For so long after its key is gone may tasks live of which a controller alone knows.
     quarantine: Duration,
 }
@@ -151,7 +177,13 @@
 impl Promises {
     pub fn new(peers: Vec<NodeName>, lease_s: f64, cancel_s: f64) -> Promises {
         let (seen, given, asked, placed) = Default::default();
-        Promises { peers, seen, given, asked, placed, quarantine: quarantine(lease_s, cancel_s) }
+        let quarantine = quarantine(lease_s, cancel_s);
+        Promises { peers, own: None, seen, given, asked, placed, quarantine }
+    }
+
+    /// Told under which revision this controller's own key stands, once all show signs of life.
+    pub fn under(&mut self, key: String, rev: Revision) {
+        self.own = Some(Guard { key, rev });
     }
 
     /// Takes in what the cache says of the others' keys.
@@ -195,8 +227,9 @@
 
     /// The leader says in which zones a job may have tasks.
     pub fn placed(&mut self, leader: Revision, seq: u64, id: &JobId, zones: Vec<String>) {
-        let Some((_, at)) = self.asked.iter().find(|(asked, _)| *asked == seq) else { return };
-        self.placed.insert(id.clone(), (leader, zones, *at));
+        if self.asked.iter().any(|(asked, _)| *asked == seq) {
+            self.placed.insert(id.clone(), (leader, zones));
+        }
     }
 
     /// Whether the leader has told where the job's tasks are, so that no answer of its can help more.
@@ -216,15 +249,20 @@
         let mut guards: BTreeMap<String, Revision> = BTreeMap::new();
         let (mut asked, mut late) = (Vec::new(), false);
         let given = self.given.get(id);
-        // The leader holds starts back for twice as long, counted from later.
-        let placed = self.placed.get(id).filter(|(leader, _, at)| {
-            let leads = cache.leader.as_ref().is_some_and(|(_, rev)| rev == leader);
-            leads && now < *at + CANCEL_HOLD / 2
-        });
+        let placed = self
+            .placed
+            .get(id)
+            .filter(|(leader, _)| cache.leader.as_ref().is_some_and(|(_, rev)| rev == leader));
         for peer in &self.peers {
             let seen = self.seen.get(peer);
             let rev = seen.and_then(|seen| seen.rev);
             guards.insert(presence_key(peer), rev.unwrap_or_default());
+            if rev.is_none() {
+                // Applied late, it must not take a later absence for this one: a sign of life in between has
+                // written this key, which never goes away.
+                let told = cache.versions.get(peer).map(|(_, rev)| *rev).unwrap_or_default();
+                guards.insert(records::version_key(peer), told);
+            }
             let promise = given.and_then(|given| given.get(peer));
             let sure = match rev {
                 // It promised under this very key, so it knows the job until the key changes.
@@ -240,7 +278,7 @@
                 continue;
             }
             // Without news it answers the workers of its own zone only, and there the job has none.
-            if let (Some((leader, zones, _)), Some(zone)) = (placed, zone_of(peer))
+            if let (Some((leader, zones)), Some(zone)) = (placed, zone_of(peer))
                 && !zones.contains(&zone)
             {
                 guards.insert(crate::state::LEADER_KEY.into(), *leader);
@@ -257,7 +295,8 @@
         if !asked.is_empty() {
             return Err(Missing::Promises(asked));
         }
-        Ok(guards.into_iter().map(|(key, rev)| Guard { key, rev }).collect())
+        let guards = guards.into_iter().map(|(key, rev)| Guard { key, rev });
+        Ok(guards.chain(self.own.clone()).collect())
     }
 }
 
@@ -270,22 +309,38 @@
     Duration::from_secs_f64((lives + VOUCH_MARGIN.as_secs_f64() - cancel_s).max(0.0))
 }
 
-/// What this controller promised the others: it stops these jobs' tasks wherever it answers workers.
-/// Kept until the cache shows them over, however long that takes: a transaction may be held back and
-/// applied minutes later.
+/// What this controller promised: it stops these jobs' tasks wherever it answers workers, in whatever
+/// role. Kept until the cache shows them over, however long that takes: a transaction may be held back
+/// and applied minutes later.
 #[derive(Debug, Default)]
-pub struct Given(BTreeSet<JobId>);
+pub struct Given {
+    jobs: BTreeSet<JobId>,
+    /// Those of which a leadership of this process was not told yet.
+    news: Vec<JobId>,
+}
 
 impl Given {
     pub fn promise(&mut self, jobs: &[JobId]) {
-        self.0.extend(jobs.iter().cloned());
+        for id in jobs {
+            if self.jobs.insert(id.clone()) {
+                self.news.push(id.clone());
+            }
+        }
     }
     pub fn has(&self, id: &JobId) -> bool {
-        self.0.contains(id)
+        self.jobs.contains(id)
+    }
+    /// For a leadership that begins: all of them.
+    pub fn all(&self) -> Vec<JobId> {
+        self.jobs.iter().cloned().collect()
+    }
+    /// For one that goes on: what was promised since it was told last.
+    pub fn news(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.news)
     }
     pub fn look(&mut self, cache: &Cache) {
         // A job that is not known yet was accepted a moment ago.
-        self.0.retain(|id| cache.jobs.get(id).is_none_or(|job| job.live().is_some()));
+        self.jobs.retain(|id| cache.jobs.get(id).is_none_or(|job| job.live().is_some()));
     }
 }
 
@@ -305,6 +360,8 @@
         rev: u64,
         /// Revision of the key, its lease and when that ends.
         key: Option<(u64, u64, Instant)>,
+        /// Revision of the controller's version key, which never goes away.
+        epoch: u64,
         leases: Vec<Instant>,
         cancelled: Option<Instant>,
     }
@@ -316,6 +373,11 @@
         fn key_rev(&self) -> Revision {
             Revision(self.key.map_or(0, |(rev, ..)| rev))
         }
+        fn holds(&self, guards: &[Guard]) -> bool {
+            let epoch = records::version_key(&NodeName::new("f"));
+            let rev = |key: &str| if key == epoch { Revision(self.epoch) } else { self.key_rev() };
+            guards.iter().all(|guard| guard.rev == rev(&guard.key))
+        }
         /// What a call of the controller does here.
         fn call(&mut self, call: &StateCall, now: Instant) -> StateReply {
             match call {
@@ -327,10 +389,11 @@
                     self.leases[lease.0 as usize] = now + PRESENCE_LEASE;
                     StateReply::Done
                 }
-                StateCall::Commit(txn) if txn.guards[0].rev == self.key_rev() => {
+                StateCall::Commit(txn) if self.holds(&txn.guards) => {
                     let Write::Put { hold: Some(lease), .. } = &txn.writes[0] else { panic!() };
                     self.rev += 1;
                     self.key = Some((self.rev, lease.0, now));
+                    self.epoch = self.rev;
                     StateReply::Committed(Revision(self.rev))
                 }
                 StateCall::Commit(_) => StateReply::Conflict(vec![]),
@@ -362,7 +425,7 @@
                 knows: false,
                 synced: None,
             };
-            let mut store = Store::default();
+            let mut store = Store { rev: 1, epoch: 1, ..Store::default() };
             let mut other = born(start);
             let mut cache = Cache::new(16);
             cache.loaded = true;
@@ -384,9 +447,16 @@
             } else {
                 (0, asks_from + random.random_range(0..40))
             };
+            // In others the store is there again for a few seconds, just when whoever saw it gone for long commits.
+            let (back, again) = if random.random_range(0..3) == 0 {
+                let back = cut_at + random.random_range(290..340);
+                (back, back + random.random_range(3..40))
+            } else {
+                (u64::MAX, u64::MAX)
+            };
             // It shows its sign of life some time after its start only.
             let mut shows_from = 0;
-            for step in 0..700u64 {
+            for step in 0..if back < u64::MAX { 1200 } else { 700u64 } {
                 let now = start + Duration::from_millis(step * 100);
                 store.now(now);
                 match random.random_range(0..500) {
@@ -394,7 +464,7 @@
                     4 if step > 400 => cut = false,
                     _ => {}
                 }
-                cut |= step == cut_at;
+                cut = (cut && step != back) || step == cut_at || step == again;
                 if step == restart {
                     other = born(now);
                     shows_from = step + random.random_range(0..20);
@@ -402,7 +472,8 @@
                 if !cut {
                     let seen = store.key_rev();
                     if step >= shows_from
-                        && let Some(call) = other.presence.poll(seen, now)
+                        && let told = (version, Revision(store.epoch))
+                        && let Some(call) = other.presence.poll(seen, Some(&told), now)
                     {
                         let reply = store.call(&call, now);
                         let lost = random.random_range(0..10) == 0;
@@ -426,6 +497,7 @@
                     } else {
                         cache.presences.remove(&name);
                     }
+                    cache.versions.insert(name.clone(), (version, Revision(store.epoch)));
                 }
                 promises.look(&cache, now);
                 let delay = |random: &mut StdRng| {
@@ -439,7 +511,7 @@
                         Ok(guards) => {
                             // The user asks again after a while.
                             asks_from = step + 20;
-                            commits.push((delay(random), guards[0].rev));
+                            commits.push((delay(random), guards));
                         }
                         Err(_) => {
                             promises.ask(step, now);
@@ -456,8 +528,8 @@
                 for (_, seq, under) in to_us.extract_if(.., |(at, ..)| *at <= now) {
                     promises.promised(&name, seq, under, std::slice::from_ref(&id));
                 }
-                for (_, rev) in commits.extract_if(.., |(at, _)| *at <= now) {
-                    if rev == store.key_rev() && store.cancelled.is_none() {
+                for (_, guards) in commits.extract_if(.., |(at, _)| *at <= now) {
+                    if store.holds(&guards) && store.cancelled.is_none() {
                         store.cancelled = Some(now);
                     }
                 }
