--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -64,6 +64,7 @@
             Fault::LateWrites(on) => self.late_writes = on,
             Fault::LateReports(on) => self.late_reports = on,
             Fault::DeafWorkers(zone, on) => self.deaf_zone = on.then_some(zone),
+            Fault::Hang(zone, on) => self.hung_zone = on.then_some(zone),
             Fault::Alone(node, on) => self.alone = on.then_some(node),
             Fault::Mute(node, on) => self.mute = on.then_some(node),
             Fault::Unhearing(node, on) => self.unhearing = on.then_some(node),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -166,6 +166,8 @@
     LateReports(bool),
     /// The reports of a zone's workers arrive; answers and direct commands to them are lost.
     DeafWorkers(usize, bool),
+    /// A zone's workers hang: they do and hear nothing, and go on later.
+    Hang(usize, bool),
     /// A node loses the state service and the other nodes, not its workers or users.
     Alone(usize, bool),
     /// What a node says to the others, or they to it, is lost.
@@ -278,6 +280,7 @@
     pub late_writes: bool,
     pub late_reports: bool,
     pub deaf_zone: Option<usize>,
+    pub hung_zone: Option<usize>,
     pub alone: Option<usize>,
     pub mute: Option<usize>,
     pub unhearing: Option<usize>,
@@ -353,6 +356,7 @@
             late_writes: false,
             late_reports: false,
             deaf_zone: None,
+            hung_zone: None,
             alone: None,
             mute: None,
             unhearing: None,
--- a/crates/standins/src/workers.rs
+++ b/crates/standins/src/workers.rs
@@ -9,6 +9,9 @@
         if worker.gone {
             return;
         }
+        if self.hung_zone == Some(worker.zone) {
+            return self.at(t + 100, Due::Worker(id));
+        }
         if t > worker.renewed + LEASE_MS {
             worker.session += 1;
             worker.tasks.clear();
@@ -96,6 +99,9 @@
         if asked != seq || worker.gone {
             return;
         }
+        if self.hung_zone == Some(worker.zone) && t < since + 4000 {
+            return self.at(t + 200, Due::HelloAnswer(id, seq, response));
+        }
         worker.asked = None;
         if response.status != 200 {
             match wire::decode::<Misdirected>(&response.body) {
@@ -134,7 +140,7 @@
         if self.deaf_zone == Some(zone) {
             return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
         }
-        if self.apart(node, zone) {
+        if self.apart(node, zone) || self.hung_zone == Some(zone) {
             self.held.push(Due::Direct(node, incarnation, id, direct));
             return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
         }
@@ -190,6 +196,8 @@
         let late = job.told_cancelled.is_some_and(|at| self.t > at + CANCEL_MS);
         let t = self.t;
         let factor = if self.slow_machines { 3 } else { 1 };
+        // What its owner takes to run for minutes outlasts any day.
+        let long = self.long_tasks || spec.expect_s > 60.0;
         let run_ms = self.random.random_range(2000..9000) * factor;
         let worker = self.workers.get_mut(id).unwrap();
         if worker.tasks.get(&task).is_some_and(|r| r.attempt == attempt) {
@@ -202,7 +210,7 @@
         worker.images.push(spec.image.clone());
         let ready_at = if warm { t } else { t + 1500 };
         let done = self.finished.contains_key(&task);
-        let ends_at = (spec.shape == Shape::Array && !self.long_tasks).then_some(if done {
+        let ends_at = (spec.shape == Shape::Array && !long).then_some(if done {
             ready_at
         } else {
             ready_at + run_ms
--- a/tests/refused_leader.rs
+++ b/tests/refused_leader.rs
@@ -25,6 +25,8 @@
 enum Links {
     All,
     Cut,
+    /// Cut until the outage begins: by then it has kept its zone's workers for longer than signs of life last.
+    Back,
     /// The old leader hears the others, and they don't hear it; or the other way round.
     Mute,
     Unhearing,
@@ -118,7 +120,7 @@
         world.fault(Fault::Refused(old, true));
         match row.links {
             Links::All => {}
-            Links::Cut => world.fault(Fault::Alone(old, true)),
+            Links::Cut | Links::Back => world.fault(Fault::Alone(old, true)),
             Links::Mute => world.fault(Fault::Mute(old, true)),
             Links::Unhearing => world.fault(Fault::Unhearing(old, true)),
         }
@@ -159,6 +161,9 @@
             world.abort_at = others.iter().copied().find(leads).or(some);
         }
         world.fault(Fault::Outage(true));
+        if row.links == Links::Back {
+            world.fault(Fault::Alone(old, false));
+        }
         if row.confirmer == Confirmer::AllForget {
             for node in &others {
                 world.fault(Fault::Blink(*node, 200));
@@ -232,6 +237,12 @@
             rows.push(Row { gap, nodes, confirmer: Confirmer::AllForget, ..plain });
         }
     }
+    // Jobs are cancelled without the old leader's promise only once its sign of life was gone for long.
+    for gap in [34_000, 38_000, 42_000] {
+        for confirmer in [Confirmer::Any, Confirmer::AllForget] {
+            rows.push(Row { gap, confirmer, links: Links::Back, ..plain });
+        }
+    }
     rows
 }
 
@@ -269,6 +280,24 @@
 #[test]
 fn an_outage_long_after_another_was_elected() {
     holds(&[20_000], 1..2, false);
+    holds(&[34_000, 38_000, 42_000], 1..4, false);
+}
+
+/// The later leader goes on by the pledges of all, the old one's among them: once nobody acted, and every lease
+/// ran out.
+#[test]
+fn a_leader_elected_before_the_outage_keeps_all_leases_in_it() {
+    let kept = |row: &Row| {
+        let usual = row.nodes > 1 && row.links == Links::All && row.old == Old::Stands;
+        let quiet = row.confirmer == Confirmer::Any && row.extra == Extra::Nothing;
+        usual && quiet && row.gap >= 7000
+    };
+    let rows: Vec<Row> = rows().into_iter().filter(kept).collect();
+    assert_eq!(rows.len(), 6);
+    for row in rows {
+        let (seen, _) = play(row, 7);
+        assert_eq!(seen.lost, 0, "{row:?}");
+    }
 }
 
 #[test]
