Reread: one count of a job's tasks and one look for the leader in the simulated world

Cause: the reread found two counts of a job's tasks that differ in one comparison, and the look for who leads written three times. Change: World::tasks serves running and on_machines, World::leads serves the rest. Nothing that runs changed, no assertion did.

--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -16,9 +16,8 @@
             Fault::CutZones(on) => self.cut_zones = on,
             Fault::Island(on) => self.island = on,
             Fault::CutWorkers(on) => {
-                let leads =
-                    |node: &Option<Node>| node.as_ref().is_some_and(|n| n.foreman.is_some());
-                self.cut_workers = self.nodes.iter().position(leads).filter(|_| on);
+                let leader = (0..self.nodes.len()).find(|node| self.leads(*node));
+                self.cut_workers = leader.filter(|_| on);
             }
             Fault::Deaf(node, on) => self.deaf = on.then_some(node),
             Fault::Outage(on) => {
@@ -89,21 +88,26 @@
     }
 
     pub fn leader(&self) -> usize {
-        let leads = |node: &Option<Node>| node.as_ref().is_some_and(|n| n.foreman.is_some());
-        self.nodes.iter().position(leads).unwrap()
+        (0..self.nodes.len()).find(|node| self.leads(*node)).unwrap()
+    }
+
+    pub fn leads(&self, node: usize) -> bool {
+        self.nodes[node].as_ref().is_some_and(|node| node.foreman.is_some())
     }
 
     pub fn running(&self, number: u64) -> usize {
-        let id = &self.jobs[&number].spec.id;
-        let tasks = self.workers.values().flat_map(|w| &w.tasks);
-        tasks.filter(|(task, r)| task.job == *id && r.state == TaskState::Running).count()
+        self.tasks(number, |state| state == TaskState::Running)
     }
 
     /// Tasks of a job that are on machines, whatever they do there.
     pub fn on_machines(&self, number: u64) -> usize {
+        self.tasks(number, |state| state != TaskState::Exited)
+    }
+
+    fn tasks(&self, number: u64, counts: impl Fn(TaskState) -> bool) -> usize {
         let id = &self.jobs[&number].spec.id;
         let tasks = self.workers.values().flat_map(|w| &w.tasks);
-        tasks.filter(|(task, r)| task.job == *id && r.state != TaskState::Exited).count()
+        tasks.filter(|(task, r)| task.job == *id && counts(r.state)).count()
     }
 
     /// Whoever led, crashed or wrote late: values are whole, and no run counts more tasks than its job has.
--- a/tests/refused_leader.rs
+++ b/tests/refused_leader.rs
@@ -157,8 +157,7 @@
         let out = at + row.gap;
         world.run(out);
         if row.confirmer == Confirmer::Leader {
-            let leads = |n: &usize| world.nodes[*n].as_ref().is_some_and(|n| n.foreman.is_some());
-            world.abort_at = others.iter().copied().find(leads).or(some);
+            world.abort_at = others.iter().copied().find(|node| world.leads(*node)).or(some);
         }
         world.fault(Fault::Outage(true));
         if row.links == Links::Back {
