--- /dev/null
+++ b/src/jobs/tests.rs
@@ -0,0 +1,410 @@
+use super::*;
+
+fn spec(id: &str, tasks: u64) -> Arc<JobSpec> {
+    Arc::new(plain_spec(id, tasks))
+}
+
+const LAYOUT: Layout = Layout { format: 1, chunk: 16_384, txn_ops: 4, value_max: 1800 };
+
+fn record(spec: &Arc<JobSpec>, jobs: &Jobs) -> Change {
+    match accept(spec, 5, &LAYOUT, jobs) {
+        Accept::Record(change) | Accept::Parts(change) => change,
+    }
+}
+
+/// Plays the state service: each change gets the next revision if its guards hold.
+#[derive(Default)]
+struct Store {
+    rev: u64,
+    keys: BTreeMap<String, (Option<Data>, u64)>,
+}
+
+impl Store {
+    fn commit(&mut self, change: &Change, layout: &Layout) -> bool {
+        assert!(change.writes.len() <= layout.txn_ops);
+        assert!(change.guards.len() <= layout.txn_ops * 4);
+        let rev = |key| self.keys.get(key).filter(|(v, _)| v.is_some()).map_or(0, |(_, r)| *r);
+        if change.guards.iter().any(|guard| rev(&guard.key) != guard.rev.0) {
+            return false;
+        }
+        self.rev += 1;
+        for write in &change.writes {
+            let value = match write {
+                Write::Put { data, .. } => Some(data.clone()),
+                Write::Delete { .. } => None,
+            };
+            let fits = value.as_ref().is_none_or(|value| layout.fits(value));
+            assert!(fits || !layout.second(), "{}", write.key());
+            self.keys.insert(write.key().to_owned(), (value, self.rev));
+        }
+        true
+    }
+    fn take(&self, jobs: &mut Jobs, key: &str) {
+        let (value, rev) = &self.keys[key];
+        match (key.strip_prefix(records::JOB_PREFIX), value) {
+            (Some(id), Some(value)) => jobs.put_job(JobId::new(id), value, Revision(*rev)),
+            _ => drop(jobs.put_beside(key, value.as_ref(), Revision(*rev))),
+        }
+    }
+    /// What a process finds that reads all keys in this order.
+    fn read(&self, order: impl Iterator<Item = usize>) -> Jobs {
+        let mut jobs = Jobs::new(LAYOUT.chunk);
+        let there: Vec<&String> =
+            self.keys.iter().filter(|(_, (v, _))| v.is_some()).map(|(k, _)| k).collect();
+        order.filter_map(|n| there.get(n)).for_each(|key| self.take(&mut jobs, key));
+        jobs
+    }
+}
+
+fn apply(jobs: &mut Jobs, change: &Change, rev: u64) {
+    for write in &change.writes {
+        let Write::Put { key, data, .. } = write else { continue };
+        match key.strip_prefix(records::JOB_PREFIX) {
+            Some(id) => jobs.put_job(JobId::new(id), data, Revision(rev)),
+            None => drop(jobs.put_beside(key, Some(data), Revision(rev))),
+        }
+    }
+}
+
+#[test]
+fn a_job_ends_with_its_last_task_whatever_the_order_and_repeats() {
+    let mut jobs = Jobs::new(LAYOUT.chunk);
+    let id = JobId::new("wk-1");
+    let change = record(&spec("wk-1", 40), &jobs);
+    apply(&mut jobs, &change, 1);
+    let mut order: Vec<u32> = (0..40).map(|i| (i * 7) % 40).collect();
+    order.extend([3, 3, 39]);
+    let mut rev = 1;
+    for (nth, task) in order.iter().enumerate() {
+        let job = jobs.get(&id).unwrap().clone();
+        let Some(done) = complete(&id, &job, &[*task, 99], 7, &LAYOUT) else { continue };
+        let change = done.change;
+        rev += 1;
+        apply(&mut jobs, &change, rev);
+        let over = jobs.get(&id).unwrap().over();
+        assert_eq!(over.is_some(), nth >= 39, "{nth}");
+    }
+    assert_eq!(jobs.get(&id).unwrap().over(), Some((JobStatus::Done, 40)));
+}
+
+#[test]
+fn nothing_goes_backward() {
+    let mut jobs = Jobs::new(LAYOUT.chunk);
+    let id = JobId::new("wk-2");
+    let first = record(&spec("wk-2", 2), &jobs);
+    apply(&mut jobs, &first, 1);
+    let job = jobs.get(&id).unwrap().clone();
+    let half = complete(&id, &job, &[0], 7, &LAYOUT).unwrap().change;
+    apply(&mut jobs, &half, 2);
+    apply(&mut jobs, &first, 1);
+    assert_eq!(jobs.get(&id).unwrap().live().unwrap().done_count(), 1);
+    let end = cancel(&id, jobs.get(&id).unwrap()).unwrap();
+    apply(&mut jobs, &end, 4);
+    apply(&mut jobs, &half, 9);
+    assert_eq!(jobs.get(&id).unwrap().over(), Some((JobStatus::Cancelled, 1)));
+}
+
+/// A large job that was accepted in the first layout goes on in the second, under limits that
+/// its record would break: no mark is lost or invented, whoever reads the store in between, and
+/// nothing is left in the end.
+#[test]
+fn a_large_job_goes_on_in_the_second_layout_from_any_point() {
+    let first = Layout { format: 0, txn_ops: 12, value_max: 14_000, ..LAYOUT };
+    for (tasks, step, cancelled) in
+        [(3000, 700, false), (50_000, 9000, false), (50_000, 9000, true)]
+    {
+        let mut store = Store::default();
+        let id = JobId::new("wk-1");
+        let Accept::Record(change) = accept(&spec("wk-1", tasks), 5, &first, &Jobs::new(16_384))
+        else {
+            panic!()
+        };
+        assert!(store.commit(&change, &first));
+        let mut reported: BTreeSet<u32> = BTreeSet::new();
+        let mut committed = Bits::default();
+        let mut next = 0;
+        for round in 0.. {
+            let jobs = store.read(0..store.keys.len());
+            let Some(live) = jobs.get(&id).unwrap().live() else { break };
+            // What a process reads is what was committed, in whichever layout.
+            assert_eq!(
+                live.done.marks().collect::<Vec<_>>(),
+                committed.marks().collect::<Vec<_>>()
+            );
+            let from = next;
+            next = (next + step).min(tasks as u32);
+            // Every other one first, so that marks of all keys grow more than once.
+            reported.extend((from..next).filter(|n| round % 2 == 1 || n % 2 == 0));
+            if next == tasks as u32 {
+                reported.extend(0..next);
+            }
+            if cancelled && round == 4 {
+                assert!(store.commit(&cancel(&id, jobs.get(&id).unwrap()).unwrap(), &LAYOUT));
+                continue;
+            }
+            let layout = if round < 2 { first } else { LAYOUT };
+            let open: Vec<u32> = reported.iter().copied().filter(|n| !live.is_done(*n)).collect();
+            let Some(done) = complete(&id, jobs.get(&id).unwrap(), &open, 9, &layout) else {
+                continue;
+            };
+            assert!(store.commit(&done.change, &layout));
+            if let Some(live) = store.read(0..store.keys.len()).get(&id).unwrap().live() {
+                let new: Vec<u32> = live.done.marks().filter(|n| !committed.has(*n)).collect();
+                assert!(new.iter().all(|n| reported.contains(n)));
+                new.into_iter().for_each(|n| committed.set(n));
+                assert!((0..tasks as u32).all(|n| !committed.has(n) || live.is_done(n)));
+            }
+        }
+        let mut over = None;
+        while over.is_none_or(|_| store.keys.values().filter(|(v, _)| v.is_some()).count() > 1) {
+            let jobs = store.read(0..store.keys.len());
+            over = jobs.get(&id).unwrap().over();
+            let (guards, writes) = jobs
+                .tidy(3)
+                .into_iter()
+                .map(|(write, rev)| (Guard { key: write.key().into(), rev }, write))
+                .unzip();
+            assert!(store.commit(&Change { guards, writes }, &LAYOUT));
+        }
+        let status = if cancelled { JobStatus::Cancelled } else { JobStatus::Done };
+        assert_eq!(over.unwrap().0, status);
+    }
+}
+
+/// However many keys marks are due in, each change fits the limits, and the rest follows.
+#[test]
+fn marks_of_many_keys_go_a_few_at_a_time() {
+    let (mut store, id) = (Store::default(), JobId::new("wk-1"));
+    let change = record(&spec("wk-1", 100_000), &Jobs::new(16_384));
+    assert!(store.commit(&change, &LAYOUT));
+    let tasks: Vec<u32> = (0..100_000).step_by(1000).collect();
+    for round in 0..7 {
+        let jobs = store.read(0..store.keys.len());
+        let done = complete(&id, jobs.get(&id).unwrap(), &tasks, 9, &LAYOUT).unwrap();
+        assert!(!done.ends && store.commit(&done.change, &LAYOUT), "{round}");
+    }
+    let jobs = store.read(0..store.keys.len());
+    assert!(complete(&id, jobs.get(&id).unwrap(), &tasks, 9, &LAYOUT).is_none());
+    assert_eq!(jobs.get(&id).unwrap().live().unwrap().done_count(), 100);
+}
+
+/// A description larger than a value, from the first part to the tidying up; a second submission
+/// elsewhere goes on with what the first one wrote.
+#[test]
+fn a_description_larger_than_a_value_is_kept_in_parts() {
+    let mut long = plain_spec("wk-9", 2000);
+    long.needs = Some((0..900).map(|n| JobId::new(&format!("wk-{n:06}"))).collect());
+    long.flavors = Some((0..32).map(|n| format!("{n}{}", "é".repeat(99))).collect());
+    let (long, id) = (Arc::new(long), JobId::new("wk-9"));
+    let mut store = Store::default();
+    let mut steps = 0;
+    loop {
+        let jobs = store.read((0..store.keys.len()).rev());
+        assert!(jobs.get(&id).is_none());
+        steps += 1;
+        match accept(&long, 5, &LAYOUT, &jobs) {
+            Accept::Parts(change) => assert!(store.commit(&change, &LAYOUT)),
+            Accept::Record(change) => {
+                assert!(store.commit(&change, &LAYOUT));
+                break;
+            }
+        }
+    }
+    assert!(steps > 4);
+    for backward in [false, true] {
+        let order: Vec<usize> = (0..store.keys.len()).collect();
+        let order = order.iter().copied();
+        let order: Vec<usize> = if backward { order.rev().collect() } else { order.collect() };
+        let jobs = store.read(order.into_iter());
+        let live = jobs.get(&id).unwrap().live().unwrap();
+        assert_eq!(live.spec, long);
+        assert_eq!(jobs.orphans().count(), 0);
+    }
+    let jobs = store.read(0..store.keys.len());
+    let done = complete(&id, jobs.get(&id).unwrap(), &[1, 1999], 9, &LAYOUT).unwrap();
+    assert!(!done.ends && store.commit(&done.change, &LAYOUT));
+    let end = cancel(&id, jobs.get(&id).unwrap()).unwrap();
+    assert!(store.commit(&end, &LAYOUT));
+    let jobs = store.read(0..store.keys.len());
+    assert_eq!(jobs.tidy(1000).len(), store.keys.len() - 1);
+}
+
+fn alone(job: &LiveJob) -> pipelines::Carried {
+    let due_ms = job.spec.due_s.map(|due_s| due_s as u64);
+    pipelines::Carried { urgency: job.spec.urgency, due_ms }
+}
+
+fn length_ms(job: &LiveJob) -> u64 {
+    job.spec.expect_s as u64
+}
+
+/// The plain model of what is carried back: by recursion over all that need the job.
+fn plain_carried(id: &JobId, live: &BTreeMap<&JobId, &LiveJob>) -> pipelines::Carried {
+    let mut carried = alone(live[id]);
+    for (other, job) in live.iter().filter(|(_, job)| job.needs().contains(id)) {
+        let after = plain_carried(other, live);
+        carried.urgency = carried.urgency.min(after.urgency);
+        let begin = after.due_ms.map(|due| due.saturating_sub(length_ms(job)));
+        carried.due_ms = carried.due_ms.into_iter().chain(begin).min();
+    }
+    carried
+}
+
+/// The plain model: what a job's state is, worked out anew from all records, by recursion.
+fn plain_state(
+    id: usize,
+    needs: &[Vec<usize>],
+    ended: &BTreeMap<usize, bool>,
+    memo: &mut BTreeMap<usize, Option<bool>>,
+) -> Option<bool> {
+    if let Some(state) = memo.get(&id) {
+        return *state;
+    }
+    // Some(true): cancelled, Some(false): done.
+    let cancelled =
+        needs[id].iter().any(|need| plain_state(*need, needs, ended, memo) == Some(true));
+    let state = ended.get(&id).copied().or(cancelled.then_some(true));
+    memo.insert(id, state);
+    state
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        cases: 60, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..Default::default()
+    })]
+
+    /// Random graphs of jobs with completions, cancellations, repeats, and processes that read
+    /// everything anew in any order, against the plain model.
+    #[test]
+    fn derived_states_are_those_of_the_plain_model(
+        edges in proptest::collection::vec(proptest::collection::vec(0usize..40, 0..4), 1..40),
+        acts in proptest::collection::vec((0usize..40, 0u8..8), 1..80),
+        shuffle in 0usize..40,
+    ) {
+        let count = edges.len();
+        let needs: Vec<Vec<usize>> = edges
+            .iter()
+            .enumerate()
+            .map(|(n, list)| {
+                let set: BTreeSet<usize> = list.iter().filter(|_| n > 0).map(|m| m % n.max(1)).collect();
+                set.into_iter().collect()
+            })
+            .collect();
+        let name = |n: usize| JobId::new(&format!("wk-{}", (n * 17) % 41));
+        let mut store = Store::default();
+        let mut jobs = Jobs::new(LAYOUT.chunk);
+        let mut ended: BTreeMap<usize, bool> = BTreeMap::new();
+        let mut accepted = 0;
+        for (which, act) in acts {
+            let before = store.keys.clone();
+            if accepted < count && act < 4 {
+                let mut spec = plain_spec(name(accepted).as_str(), 1);
+                spec.needs = Some(needs[accepted].iter().map(|n| name(*n)).collect());
+                let urgencies = [wire::Urgency::High, wire::Urgency::Normal, wire::Urgency::Low];
+                spec.urgency = urgencies[which % 3];
+                spec.due_s = (which % 4 == 0).then_some(100.0 + (which * 7 % 50) as f64);
+                spec.expect_s = which as f64;
+                store.commit(&record(&Arc::new(spec), &jobs), &LAYOUT);
+                accepted += 1;
+            } else if accepted > 0 {
+                let n = which % accepted;
+                let job = jobs.get(&name(n)).unwrap().clone();
+                let (change, end) = match (act, job.live()) {
+                    (5, _) => (cancel(&name(n), &job), Some(true)),
+                    (6.., Some(live)) if live.ready() => {
+                        let done = complete(&name(n), &job, &[0], 9, &LAYOUT);
+                        (done.map(|done| done.change), Some(false))
+                    }
+                    // Tidying up changes no answer.
+                    _ => {
+                        let change = jobs.tidy(2).pop().map(|(write, rev)| Change {
+                            guards: vec![Guard { key: write.key().into(), rev }],
+                            writes: vec![write],
+                        });
+                        (change, None)
+                    }
+                };
+                if let Some(change) = change
+                    && store.commit(&change, &LAYOUT)
+                {
+                    ended.extend(end.map(|cancelled| (n, cancelled)));
+                }
+            }
+            let new: Vec<String> = store.keys.iter()
+                .filter(|(key, value)| before.get(*key) != Some(*value))
+                .map(|(key, _)| key.clone()).collect();
+            new.iter().for_each(|key| store.take(&mut jobs, key));
+            let total = store.keys.len();
+            let again = store.read((0..total).map(|n| (n + shuffle) % total.max(1)));
+            let mut memo = BTreeMap::new();
+            let live: BTreeMap<&JobId, &LiveJob> =
+                jobs.all.iter().filter_map(|(id, job)| Some((id, job.live()?))).collect();
+            let carried = pipelines::carry_back(&live, alone, |_, job| length_ms(job));
+            for (id, job) in &live {
+                let found = carried.get(*id).copied().unwrap_or_else(|| alone(job));
+                proptest::prop_assert_eq!(found, plain_carried(id, &live), "job {}", id);
+            }
+            for n in 0..accepted {
+                let plain = plain_state(n, &needs, &ended, &mut memo);
+                for jobs in [&jobs, &again] {
+                    let job = jobs.get(&name(n)).unwrap();
+                    let state = job.over().map(|(status, _)| status == JobStatus::Cancelled);
+                    proptest::prop_assert_eq!(state, plain, "job {}", n);
+                    if let Some(live) = job.live() {
+                        let open = needs[n].iter().filter(|m| ended.get(m) != Some(&false));
+                        proptest::prop_assert_eq!(live.open as usize, open.count());
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Thousands in a row and a graph with an astronomical number of ways through it: one
+/// cancellation ends them all, and each edge is walked once.
+#[test]
+fn long_chains_and_wide_graphs_end_at_once() {
+    let layered = |n: usize| -> Vec<usize> {
+        let layer = n / 5;
+        if layer == 0 { vec![] } else { (0..5).map(|k| (layer - 1) * 5 + k).collect() }
+    };
+    let chain = |n: usize| if n == 0 { vec![] } else { vec![n - 1] };
+    let graphs: [fn(usize) -> Vec<usize>; 2] = [chain, layered];
+    for needs in graphs {
+        for backward in [false, true] {
+            let mut jobs = Jobs::new(LAYOUT.chunk);
+            let name = |n: usize| JobId::new(&format!("wk-{n}"));
+            let mut order: Vec<usize> = (0..5000).collect();
+            if backward {
+                order.reverse();
+            }
+            for n in order {
+                let mut spec = plain_spec(name(n).as_str(), 1);
+                spec.urgency =
+                    if n == 4999 { wire::Urgency::Production } else { wire::Urgency::Low };
+                spec.due_s = Some(if n == 4999 { 1e6 } else { 2e6 });
+                spec.needs = Some(needs(n).into_iter().map(name).collect());
+                let change = record(&Arc::new(spec), &jobs);
+                apply(&mut jobs, &change, 1);
+            }
+            let live = jobs.all.iter().filter_map(|(id, job)| Some((id, job.live()?))).collect();
+            let alone = |job: &LiveJob| pipelines::Carried {
+                urgency: job.spec.urgency,
+                due_ms: job.spec.due_s.map(|due_s| due_s as u64),
+            };
+            let carried = pipelines::carry_back(&live, alone, |_, _| 10);
+            let first = carried[&name(0)];
+            assert_eq!(first.urgency, wire::Urgency::Production);
+            let layers = if needs(4999).len() == 1 { 4999 } else { 999 };
+            assert_eq!(first.due_ms, Some(1_000_000 - layers * 10));
+            let end = cancel(&name(0), jobs.get(&name(0)).unwrap()).unwrap();
+            jobs.take_changed();
+            apply(&mut jobs, &end, 2);
+            let over = jobs.all.values().filter(|job| job.over().is_some()).count();
+            let all = if layers == 999 { 4996 } else { 5000 };
+            assert_eq!((over, jobs.take_changed().len()), (all, all));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/tests.rs
@@ -0,0 +1,195 @@
+use super::*;
+use crate::records::{FORMAT, VersionRecord};
+
+/// Two grants relayed in pieces within one beat once had one number: the second's number would
+/// have come with the first's list of barred machines, and been acknowledged.
+#[test]
+fn pieces_of_two_relayed_messages_are_never_put_together() {
+    let settings = Arc::new(crate::settings::plain(r#"[{"name":"t","cpus_max":8.0}]"#));
+    let now = Instant::now();
+    let mut node = Node::new(settings, 1, Wall { at: now, ms: 5 }).unwrap();
+    node.state.poll(now);
+    let (id, _) = node.state.calls.pop_front().unwrap();
+    let page = wire::Page { rows: vec![], truncated: false, rev: Revision(1) };
+    node.state.on_reply(id, StateReply::Page(page), now);
+    let version = (VersionRecord { format: FORMAT, chunk: 16_384 }, Revision(1));
+    node.state.cache.versions.insert(NodeName::new("n"), version);
+    let grant = |number: u64| {
+        let names = (0..2000).map(|n| MachineId::new(&format!("i-{:06}", n * number)));
+        let barred = names.collect();
+        MeshMessage::Grant { seq: 9, token: Token(41), number, barred, lent: vec![] }
+    };
+    let (mut pieces, mut got) = (Pieces::default(), Vec::new());
+    for number in 1..3 {
+        node.relay(&NodeName::new("m"), &grant(number));
+        node.state.poll(now);
+        for (id, call) in node.state.calls.drain(..).collect::<Vec<_>>() {
+            let StateCall::Commit(txn) = call else { continue };
+            for write in &txn.writes {
+                let Write::Put { data, .. } = write else { panic!() };
+                got.extend(pieces.take(data.as_text().unwrap()));
+            }
+            node.state.on_reply(id, StateReply::Committed(Revision(1 + number)), now);
+        }
+        node.state.events.clear();
+    }
+    let whole: Vec<_> = got.iter().map(|text| mesh::from_text(text)).collect();
+    assert_eq!(whole, [Some(grant(1)), Some(grant(2))]);
+}
+
+/// A leader whose sockets are workers' leaves users to others, but only to such as are surely there.
+#[test]
+fn a_crowded_leader_leaves_users_to_others_that_are_there() {
+    let now = Instant::now();
+    let settings = Arc::new(crate::settings::plain(r#"[{"name":"t","cpus_max":8.0}]"#));
+    let up = |crowded: bool, peers: &[(bool, u64)]| {
+        let mut node = Node::new(settings.clone(), 1, Wall { at: now, ms: 5 }).unwrap();
+        node.state.poll(now);
+        let (id, _) = node.state.calls.pop_front().unwrap();
+        let page = wire::Page { rows: vec![], truncated: false, rev: Revision(1) };
+        node.state.on_reply(id, StateReply::Page(page), now);
+        node.crowded = crowded;
+        for (n, (state_lost, up_s)) in peers.iter().enumerate() {
+            let up = Duration::from_secs(*up_s);
+            let view = PeerView { heard: now, state_lost: *state_lost, up };
+            node.peers.insert(NodeName::new(&format!("m-{n}")), view);
+        }
+        node.is_up(now)
+    };
+    let there = (false, 100);
+    assert!(up(false, &[there, there]));
+    assert!(!up(true, &[there, there]));
+    assert!(up(true, &[there]), "one might go");
+    assert!(up(true, &[there, (false, 1)]), "one has just started");
+    assert!(up(true, &[there, (true, 100)]), "one has lost the store");
+}
+
+/// Thousands of machines that came up at once, each start a call of its own, cost a leader its lease.
+#[test]
+fn a_leader_of_many_machines_that_is_behind_calls_few_of_them() {
+    let now = Instant::now();
+    let settings = Arc::new(crate::settings::plain(r#"[{"name":"t","cpus_max":8.0}]"#));
+    let wall = Wall { at: now, ms: 5 };
+    let mut node = Node::new(settings.clone(), 1, wall).unwrap();
+    node.state.cache.flavors.0 = vec![crate::settings::plain_flavor()];
+    let most_direct = |node: &mut Node, machines: u32, behind: bool| {
+        let cache = &node.state.cache;
+        let token = Token(1);
+        let mut foreman = Foreman::new(token, Revision(2), settings.clone(), cache, wall, now);
+        for n in 0..machines {
+            let report = Report {
+                machine: MachineId::new(&format!("i-{n}")),
+                address: "127.0.0.1:9000".into(),
+                flavor: "f".into(),
+                zone: "a".into(),
+                spot: false,
+                session: 1,
+                seq: 1,
+                token,
+                notice_s: None,
+                tasks: Vec::new(),
+            };
+            foreman.on_report(&report, cache, now);
+        }
+        foreman.pace(if behind { LATE * 2 } else { Duration::ZERO }, now);
+        node.foreman = Some(foreman);
+        node.look_at_limits(now);
+        node.foreman.as_ref().map_or(0, |foreman| foreman.most_direct)
+    };
+    let many = node.ceiling.most() * 3 / 4;
+    assert_eq!(most_direct(&mut node, many, true), DIRECT_BEHIND);
+    assert!(most_direct(&mut node, many, false) > DIRECT_BEHIND);
+    assert!(most_direct(&mut node, 9, true) > DIRECT_BEHIND);
+}
+
+/// Users find no path there, whatever they show; whoever has the key and asks the wrong controller is
+/// sent on.
+#[test]
+fn operators_paths_are_shut_without_their_key() {
+    let teams = r#"[{"name":"t","cpus_max":8.0}]"#;
+    let now = Instant::now();
+    let ask = |own: &str, method: Method, shown: &str| {
+        let mut settings = crate::settings::plain(teams);
+        settings.operator.operator_key = crate::settings::Secret(own.into());
+        let mut node = Node::new(Arc::new(settings), 1, Wall { at: now, ms: 5 }).unwrap();
+        let body = serde_json::to_vec(&ops::Question { key: shown.into() }).unwrap();
+        node.on_http(1, Request { method, target: ops::AT_RISK_PATH.into(), body }, now);
+        match node.out.pop() {
+            Some(Effect::Reply(1, response)) => response.status,
+            other => panic!("{other:?}"),
+        }
+    };
+    let key = "a key of some length";
+    assert_eq!(ask("", Method::Post, ""), 404);
+    assert_eq!(ask(key, Method::Post, "a key of same length"), 404);
+    assert_eq!(ask(key, Method::Post, ""), 404);
+    assert_eq!(ask(key, Method::Get, key), 404);
+    assert_eq!(ask(key, Method::Post, key), 421);
+}
+
+/// An order is answered once it is written; of two operators at once one is told to look again, and what
+/// there is not is not drained.
+#[test]
+fn an_operators_order_is_answered_when_it_is_kept() {
+    let key = "a key of some length";
+    let now = Instant::now();
+    let mut settings = crate::settings::plain(r#"[{"name":"t","cpus_max":8.0}]"#);
+    settings.operator.operator_key = crate::settings::Secret(key.into());
+    let mut node = Node::new(Arc::new(settings), 1, Wall { at: now, ms: 5 }).unwrap();
+    let drain = |name: &str| ops::DrainOrder {
+        key: key.into(),
+        kind: ops::DrainKind::Zone,
+        name: name.into(),
+        by_s: Some(60.0),
+        author: "x".into(),
+        reason: String::new(),
+    };
+    let send = |node: &mut Node, ticket: u64, path: &str, body: Vec<u8>| {
+        let request = Request { method: Method::Post, target: path.into(), body };
+        node.on_http(ticket, request, now);
+    };
+    let body = |order: &ops::DrainOrder| serde_json::to_vec(order).unwrap();
+    let told = |node: &mut Node| -> Vec<(u64, u16)> {
+        let replies = node.out.drain(..).filter_map(|effect| match effect {
+            Effect::Reply(ticket, response) => Some((ticket, response.status)),
+            _ => None,
+        });
+        replies.collect()
+    };
+    send(&mut node, 1, ops::DRAIN_PATH, body(&drain("a")));
+    assert_eq!(told(&mut node), [(1, 503)], "nothing is known of the store yet");
+    node.state.poll(now);
+    let (id, _) = node.state.calls.pop_front().unwrap();
+    let page = wire::Page { rows: vec![], truncated: false, rev: Revision(1) };
+    node.state.on_reply(id, StateReply::Page(page), now);
+    send(&mut node, 2, ops::DRAIN_PATH, body(&drain("nowhere")));
+    let undrain = ops::DrainName { key: key.into(), kind: ops::DrainKind::Zone, name: "a".into() };
+    let undrain = serde_json::to_vec(&undrain).unwrap();
+    send(&mut node, 3, ops::UNDRAIN_PATH, undrain.clone());
+    assert_eq!(told(&mut node), [(2, 422), (3, 422)]);
+    for (ticket, path, order, reply, status) in [
+        (4, ops::DRAIN_PATH, body(&drain("a")), None, 409),
+        (5, ops::DRAIN_PATH, body(&drain("a")), Some(Revision(7)), 200),
+        (6, ops::UNDRAIN_PATH, undrain, Some(Revision(9)), 200),
+    ] {
+        send(&mut node, ticket, path, order);
+        assert_eq!(told(&mut node), [], "not before it is kept");
+        node.state.poll(now);
+        let calls: Vec<_> = node.state.calls.drain(..).collect();
+        let commit = calls.into_iter().find_map(|(id, call)| match call {
+            StateCall::Commit(txn) => Some((id, txn)),
+            _ => None,
+        });
+        let (id, txn) = commit.unwrap();
+        let reply = match reply {
+            Some(rev) => StateReply::Committed(rev),
+            None => StateReply::Conflict(vec![txn.guards[0].key.clone()]),
+        };
+        node.state.on_reply(id, reply, now);
+        while let Some(event) = node.state.events.pop_front() {
+            node.on_state(event, now);
+        }
+        assert_eq!(told(&mut node), [(ticket, status)]);
+    }
+    assert!(node.state.cache.drains.is_empty());
+}
