What may still run of cancelled jobs counts against their team under the next leader

Cause: a new leader counted what machines that had not confirmed may run only for live jobs. Tasks of a job that was cancelled before the take-over, or during it, on machines that hang or are cut off, counted for nothing until seen, so new jobs of a team at its limit were started beside them: quota. Change: a cancelled record tells how many tasks may run on and since when (fields that production ignores, written only once all controllers read the second layout; records without them count as all that is hidden, unless older than one that surely ended long ago); the leader counts them per team until every machine has confirmed (src/foreman/leftover.rs).

--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -13,6 +13,7 @@
             let refusal = Ok(Response::with(503, body));
             return self.soon(Due::Node(node, incarnation, Event::Cloud(id, refusal)));
         }
+        let rents = matches!(call, CloudCall::Hire(..));
         let response = match call {
             CloudCall::Flavors => Response::with(
                 200,
@@ -79,6 +80,11 @@
             }
         };
         let lost = self.random.random_range(0..40) == 0;
+        if rents && self.aims.quick_boots {
+            // The machines are up and report before whoever rented them hears of them.
+            let late = self.t + self.random.random_range(300..3000);
+            return self.at(late, Due::Node(node, incarnation, Event::Cloud(id, Ok(response))));
+        }
         let result = if lost { Err(CallError::Unknown) } else { Ok(response) };
         self.soon(Due::Node(node, incarnation, Event::Cloud(id, result)));
     }
@@ -86,7 +92,11 @@
     pub fn rent(&mut self, zone: usize, spot: bool) -> MachineId {
         self.next_machine += 1;
         let id = MachineId::new(&format!("i-{:06}", self.next_machine));
-        let boot = self.random.random_range(1000..8000);
+        let mut boot = self.random.random_range(1000..8000);
+        if self.aims.quick_boots {
+            boot = self.random.random_range(50..2000);
+            self.aims.took_effect("quick boots");
+        }
         let never = self.bad_boots && self.random.random_range(0..3) == 0;
         let factor = if self.bad_boots { 3 } else { 1 };
         let up_at = if never { u64::MAX / 2 } else { self.t + boot * factor };
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -74,6 +74,16 @@
                     worker.tasks.clear();
                 }
             }
+            fault @ (Fault::LostAnswers(_)
+            | Fault::SlowWrites(_)
+            | Fault::CopiesForNext(_)
+            | Fault::MuteWorkers(..)
+            | Fault::HeldCommands(_)
+            | Fault::CloseLooks(_)
+            | Fault::CancelNow(_)
+            | Fault::CancelAtEnd(_)
+            | Fault::OddRequests(_)
+            | Fault::QuickBoots(_)) => self.aim(fault),
             Fault::TakeMachine => {
                 if let Some(worker) = self.workers.values_mut().find(|w| !w.gone && w.spot) {
                     worker.gone = true;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -33,8 +33,13 @@
 pub use troutspindle_estimates::Bucket;
 pub use troutspindle_protocol::ops::DrainKind;
 
+pub use aims::Aims;
+pub use looks::{Ask, Asked, Told};
+
+mod aims;
 mod cloud;
 mod faults;
+mod looks;
 mod production;
 mod store;
 mod users;
@@ -51,6 +56,16 @@
 /// Floors are on in every play, as in `run`: no rule may depend on them.
 pub const FLOOR: f64 = 0.7;
 
+/// Teams with their guarantee and limit in CPUs.
+pub const TEAMS: [(&str, f64, f64); 3] = [("t", 40.0, 48.0), ("u", 8.0, 24.0), ("v", 8.0, 16.0)];
+
+fn teams() -> String {
+    let team = |(name, cpus, most): &(&str, f64, f64)| {
+        format!(r#"{{"name":"{name}","cpus":{cpus},"cpus_max":{most}}}"#)
+    };
+    TEAMS.iter().map(team).collect::<Vec<String>>().join(",")
+}
+
 /// How a controller is set up; `old` stands for one of the version before this one.
 pub fn settings(count: usize, node: usize, old: bool, floor: f64) -> Arc<Settings> {
     let others: Vec<String> = (0..count)
@@ -64,7 +79,7 @@
     let text = format!(
         r#"{{"host_name":"n-{node}","location":"{}","listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
         "others":[{}],"external":{{"cloud":"127.0.0.1:8","state":"127.0.0.1:9"}},
-        "params":{{"zones":["a","b"],"teams":[{{"name":"t","cpus":40.0,"cpus_max":48.0}}],
+        "params":{{"zones":["a","b"],"teams":[TEAMS],
         "workers":{{"report_s":2.0,"lease_s":14.0,"cancel_s":32.0}},
         "state":{{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":12,
         "next":{{"write_rps":42.0,"value_kb":2.0,"txn_ops":4}}}},
@@ -72,6 +87,7 @@
         ZONES[World::node_zone(node)],
         others.join(",")
     );
+    let text = text.replace("TEAMS", &teams());
     let operator =
         if old { "hold_format: true".to_owned() } else { format!("{LEARNING}floor: {floor}") };
     Arc::new(Settings::parse(&text, Some(&operator)).unwrap())
@@ -98,6 +114,8 @@
     State(usize, u32, u64, StateCall),
     /// A transaction is carried out of which nobody waits for the answer any more.
     LateWrite(wire::Txn),
+    /// A transaction of this node, and of its call with that number, is carried out and answered.
+    SlowWrite(usize, u32, u64, wire::Txn),
     Cloud(usize, u32, u64, CloudCall),
     Direct(usize, u32, MachineId, Direct),
     /// A report reaches a node.
@@ -109,6 +127,13 @@
     UserAsks(usize, u64, Request),
     /// To the job's user, on the request made at that time.
     UserAnswer(u64, u64, Response),
+    /// A request beside the user's usual ones goes to a node, and its answer comes back.
+    Look(usize, Asked),
+    LookAnswer(Asked, Response),
+    /// Users send odd requests as long as that trouble lasts.
+    Odd,
+    /// Orders straight to a worker that were held up, whose sender has given up.
+    HeldOrders(MachineId, Orders),
     Restart(usize),
     LeaseCheck,
     /// The node gets round to what is first in its line.
@@ -173,6 +198,26 @@
     /// What a node says to the others, or they to it, is lost.
     Mute(usize, bool),
     Unhearing(usize, bool),
+    /// A third of the transactions is carried out at once, and its answer lost.
+    LostAnswers(bool),
+    /// Transactions take some hundred milliseconds to seconds, and only then are carried out.
+    SlowWrites(bool),
+    /// Copies of reports are kept, and reach all controllers as a next leader begins.
+    CopiesForNext(bool),
+    /// The workers of a zone reach no controller; direct commands reach them.
+    MuteWorkers(usize, bool),
+    /// A third of the direct commands is held up for seconds, or their answers are.
+    HeldCommands(bool),
+    /// After each news users ask at all nodes within milliseconds, repeat the submission, and some cancel.
+    CloseLooks(bool),
+    /// Users call off so many jobs that run, within a fifth of a second.
+    CancelNow(usize),
+    /// Half of the jobs whose last task ends are called off at that moment.
+    CancelAtEnd(bool),
+    /// Submissions that are broken or repeated, cancellations of what is done, questions about nothing.
+    OddRequests(bool),
+    /// New machines are up within two seconds, mostly before the answer to their rental comes.
+    QuickBoots(bool),
 }
 
 #[derive(Default)]
@@ -229,6 +274,10 @@
     pub ran_when_told: usize,
     /// When it asked last, and for what: 0 submit, 1 poll, 2 abort.
     pub asked: Option<(u64, u8)>,
+    /// What its user was told first, of each kind, and when that arrived.
+    pub told: Vec<(u64, Told)>,
+    /// The event in which its last usual request was sent.
+    pub sent: u64,
     pub last_good: u64,
 }
 
@@ -292,6 +341,10 @@
     pub forgets: Option<u64>,
     /// When each node answered a worker last with orders.
     pub answered: Vec<u64>,
+    /// The troubles of meetings that are brought about on purpose, and how often each took effect.
+    pub aims: Aims,
+    /// Events so far: what is later in the day has a higher number, within a millisecond too.
+    pub events: u64,
     pub broken: Vec<String>,
     pub starts: u64,
     /// Transactions that went beyond the limits.
@@ -301,6 +354,7 @@
 pub enum Ticket {
     Hello(MachineId, u64),
     User(u64, u64),
+    Look(Asked),
 }
 
 impl World {
@@ -364,6 +418,8 @@
             abort_at: None,
             forgets: None,
             answered: vec![0; count],
+            aims: Aims::default(),
+            events: 0,
             broken: Vec::new(),
             starts: 0,
             too_large: 0,
@@ -432,6 +488,7 @@
             }
             self.queue.pop();
             self.t = t;
+            self.events += 1;
             if let Some(due) = self.due.remove(&n) {
                 self.step(due);
             }
@@ -442,6 +499,7 @@
         if let Due::Tick(node)
         | Due::Node(node, ..)
         | Due::Hello(node, ..)
+        | Due::Look(node, ..)
         | Due::UserAsks(node, ..) = &due
             && self.standing[*node]
         {
@@ -456,6 +514,7 @@
         if let Due::Tick(node)
         | Due::Node(node, ..)
         | Due::Hello(node, ..)
+        | Due::Look(node, ..)
         | Due::UserAsks(node, ..) = &due
             && (self.cost > 0 || !self.lines[*node].is_empty())
         {
@@ -494,6 +553,9 @@
             Due::State(node, incarnation, id, call) => self.state(node, incarnation, id, call),
             Due::LateWrite(txn) if self.store.out => self.at(self.t + 1000, Due::LateWrite(txn)),
             Due::LateWrite(txn) => drop(self.commit(txn)),
+            Due::SlowWrite(node, incarnation, id, txn) => {
+                self.slow_write(node, incarnation, id, txn);
+            }
             Due::Cloud(node, incarnation, id, call) => self.cloud(node, incarnation, id, call),
             Due::Direct(node, incarnation, machine, direct) => {
                 self.direct(node, incarnation, machine, direct);
@@ -528,6 +590,10 @@
                 self.tell(node, Event::Http(ticket, request));
             }
             Due::UserAnswer(job, asked, response) => self.user_answer(job, asked, &response),
+            Due::Look(node, asked) => self.look(node, asked),
+            Due::LookAnswer(asked, response) => self.look_answer(&asked, &response),
+            Due::Odd => self.odd(),
+            Due::HeldOrders(machine, orders) => self.held_orders(&machine, orders),
             Due::Restart(node) => {
                 self.down[node] = false;
                 let seed = self.random.random();
@@ -555,6 +621,12 @@
         let Some(core) = &mut self.nodes[node] else { return };
         core.handle(event, now);
         let effects = std::mem::take(&mut core.out);
+        let leads = core.foreman.is_some();
+        if leads && !self.aims.led.contains(&node) {
+            self.leader_begins();
+        }
+        self.aims.led.retain(|other| *other != node);
+        self.aims.led.extend(leads.then_some(node));
         match self.unsent.iter_mut().find(|(other, _)| *other == node) {
             Some((_, unsent)) => unsent.extend(effects),
             None => self.carry_out(node, effects),
@@ -576,6 +648,9 @@
                             self.soon(Due::HelloAnswer(machine, id, response));
                         }
                     }
+                    Some(Ticket::Look(asked)) if !self.cut_node[node] && !self.on_island(node) => {
+                        self.soon(Due::LookAnswer(asked, response));
+                    }
                     Some(Ticket::User(job, asked))
                         if !self.cut_node[node] && !self.on_island(node) =>
                     {
--- a/crates/standins/src/production.rs
+++ b/crates/standins/src/production.rs
@@ -80,4 +80,4 @@
 }
 
 /// Fields that production drops when it reads or rewrites a job's record.
-pub const UNKNOWN: [&str; 3] = ["e", "x", "waitsOn"];
+pub const UNKNOWN: [&str; 4] = ["e", "t", "x", "waitsOn"];
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -1,8 +1,16 @@
 //! The state service.
 
+use super::aims::Carried;
 use super::*;
 
 impl World {
+    /// A transaction that took its time is carried out, and answered.
+    pub fn slow_write(&mut self, node: usize, incarnation: u32, id: u64, txn: wire::Txn) {
+        let refuses = self.store.out || self.refused == Some(node);
+        let reply = if refuses { StateReply::Refused } else { self.commit(txn) };
+        self.at(self.t + 3, Due::Node(node, incarnation, Event::State(id, reply)));
+    }
+
     pub fn state(&mut self, node: usize, incarnation: u32, id: u64, call: StateCall) {
         if self.on_island(node) || self.alone == Some(node) {
             let gives_up = Event::State(id, StateReply::Unknown);
@@ -78,7 +86,18 @@
                             *data = as_production(data);
                         }
                     }
-                    self.commit(txn)
+                    match self.carried() {
+                        Carried::Usual => self.commit(txn),
+                        Carried::Unheard => {
+                            self.commit(txn);
+                            let gives_up = Event::State(id, StateReply::Unknown);
+                            return self.at(self.t + 1500, Due::Node(node, incarnation, gives_up));
+                        }
+                        Carried::Later(ms) => {
+                            return self
+                                .at(self.t + ms, Due::SlowWrite(node, incarnation, id, txn));
+                        }
+                    }
                 }
             }
         };
--- a/crates/standins/src/users.rs
+++ b/crates/standins/src/users.rs
@@ -39,6 +39,8 @@
             told_done: false,
             broken: false,
             asked: None,
+            told: Vec::new(),
+            sent: 0,
             last_good: t,
         };
         self.jobs.insert(number, job);
@@ -75,6 +77,7 @@
         };
         let job = self.jobs.get_mut(&number).unwrap();
         job.asked = Some((t, kind));
+        job.sent = self.events;
         job.asked_abort |= kind == 2;
         let any = self.random.random_range(0..self.nodes.len());
         let node = self.abort_at.filter(|_| kind == 2).unwrap_or(any);
@@ -84,11 +87,6 @@
     }
 
     pub fn user_answer(&mut self, number: u64, asked: u64, response: &Response) {
-        let t = self.t;
-        let before = self.before(number);
-        let wanted = before.iter().any(|n| self.jobs[n].asked_abort);
-        let told = before.iter().filter_map(|n| self.jobs[n].told_cancelled).min();
-        let on_machines = self.on_machines(number);
         let job = self.jobs.get_mut(&number).unwrap();
         // An answer to a request that was given up finds its connection closed.
         let Some((_, kind)) = job.asked.take_if(|(at, _)| *at == asked) else { return };
@@ -96,8 +94,36 @@
             job.put_off += u32::from(kind == 2 && response.status == 503);
             return;
         }
+        let sent = job.sent;
+        self.judge(number, kind, (asked, sent), response);
+    }
+
+    /// The rules that an answer to a user may break, whichever of its requests it answers: one that
+    /// was sent at this time, and in this event.
+    pub fn judge(&mut self, number: u64, kind: u8, (asked, sent): (u64, u64), response: &Response) {
+        let t = self.t;
+        let before = self.before(number);
+        let wanted = before.iter().any(|n| self.jobs[n].asked_abort);
+        let told = before.iter().filter_map(|n| self.jobs[n].told_cancelled).min();
+        let on_machines = self.on_machines(number);
+        let events = self.events;
+        let mut news = false;
+        let job = self.jobs.get_mut(&number).unwrap();
         job.last_good = t;
         let mut wrong = Vec::new();
+        let says = Told::of(response);
+        // What had arrived before the request was sent; users compare no others.
+        let known = job.told.iter().filter(|(at, _)| *at < sent).map(|(_, told)| *told).max();
+        if known.is_some_and(|known| says < Some(known)) {
+            let id = &job.spec.id;
+            wrong.push(format!("older: {id} of kind {kind} got {says:?} after {known:?}"));
+        }
+        if let Some(says) = says
+            && job.told.iter().all(|(_, told)| *told != says)
+        {
+            job.told.push((events, says));
+            news = true;
+        }
         if !matches!(response.status, 200 | 201) {
             wrong
                 .push(format!("forgotten: {} of kind {kind} got {}", job.spec.id, response.status));
@@ -110,10 +136,12 @@
             if view.status == JobStatus::Done && (!all_done || job.spec.shape == Shape::Service) {
                 wrong.push(format!("not_done: {}", job.spec.id));
             }
-            let back = (job.told_done && view.status != JobStatus::Done)
-                || (job.told_cancelled.is_some() && view.status != JobStatus::Cancelled)
-                || (view.status == JobStatus::Cancelled && !wanted);
             let open = matches!(view.status, JobStatus::Queued | JobStatus::Running);
+            // An answer that was on its way when another one came may still say that it is open.
+            let later = !open || known >= Some(Told::Done);
+            let back = later && job.told_done && view.status != JobStatus::Done
+                || later && job.told_cancelled.is_some() && view.status != JobStatus::Cancelled
+                || (view.status == JobStatus::Cancelled && !wanted);
             // Whoever asks after any user was told finds the job cancelled.
             if open && told.is_some_and(|at| asked > at) {
                 wrong.push(format!("orphaned: {}", job.spec.id));
@@ -130,5 +158,31 @@
         for what in wrong {
             self.break_rule(what);
         }
+        if news {
+            self.look_closely(number);
+        }
+    }
+}
+
+impl World {
+    /// All troubles have been over for long: each job is over or runs as a whole, and its user hears of it.
+    pub fn afterwards(&mut self) {
+        for (number, job) in &self.jobs {
+            let cancelled = job.told_cancelled.is_some();
+            let whole = self.running(*number) as u64 == job.spec.tasks;
+            let outlasts = job.spec.shape == Shape::Service || job.spec.expect_s > 60.0;
+            let what = if self.t > job.last_good + 75_000 {
+                "forgotten: nobody is told of it"
+            } else if job.abort_at.is_some() && !cancelled && !job.told_done {
+                "it was never cancelled"
+            } else if outlasts && !cancelled && !whole {
+                "it does not run"
+            } else if !outlasts && !cancelled && !job.told_done {
+                "it is not over"
+            } else {
+                continue;
+            };
+            self.broken.push(format!("{number}: {what}"));
+        }
     }
 }
--- a/crates/standins/src/workers.rs
+++ b/crates/standins/src/workers.rs
@@ -41,7 +41,8 @@
             }
         }
         for task in finished {
-            self.finished.insert(task, true);
+            self.finished.insert(task.clone(), true);
+            self.ended(&task);
         }
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if let Some((_, _, since)) = worker.asked
@@ -51,7 +52,13 @@
             worker.target = (worker.target + 1) % self.nodes.len();
             worker.next_report = t + 1000;
         }
-        if worker.asked.is_none() && (t >= worker.next_report || worker.changed) {
+        let wants = worker.asked.is_none() && (t >= worker.next_report || worker.changed);
+        if wants && self.aims.mute_zone == Some(worker.zone) {
+            // It can't open a connection, and tries the next node a second later.
+            (worker.changed, worker.next_report) = (false, t + 1000);
+            worker.target = (worker.target + 1) % self.nodes.len();
+            self.aims.took_effect("mute workers");
+        } else if wants {
             worker.changed = false;
             worker.next_report = t + REPORT_MS;
             worker.seq += 1;
@@ -65,6 +72,7 @@
                 let node = self.random.random_range(0..self.nodes.len());
                 self.at(later, Due::Hello(node, id.clone(), body.clone(), 0));
             }
+            self.keep_copy(&id, &body);
             self.soon(Due::Hello(target, id.clone(), body, seq));
         }
         self.at(t + 100, Due::Worker(id));
@@ -144,6 +152,15 @@
             self.held.push(Due::Direct(node, incarnation, id, direct));
             return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
         }
+        let held = self.aims.held_commands && self.random.random_range(0..3) == 0;
+        if held && self.random.random() {
+            // Held up on its way, and executed when nobody waits for the answer any more.
+            if let Some(orders) = sent {
+                let later = self.t + self.random.random_range(1000..9000);
+                self.at(later, Due::HeldOrders(id, orders));
+            }
+            return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
+        }
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let valid = sent.as_ref().is_none_or(|orders| {
             orders.token >= worker.token && orders.session == Some(worker.session)
@@ -155,6 +172,10 @@
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.seq += 1;
         let report = Self::report(&id, worker);
+        if held {
+            // It was carried out, and its answer is held up.
+            return self.at(self.t + 3000, Due::Node(node, incarnation, unknown));
+        }
         self.soon(Due::Node(node, incarnation, Event::Direct(id, sent, Ok(report))));
     }
 
@@ -241,6 +262,7 @@
         if spot && !spec.spot {
             self.break_rule(format!("wrong_place: {task} on spot"));
         }
+        let team = spec.team.clone();
         let mut cpus = 0.0;
         let mut same_zone = 0;
         let mut elsewhere = Vec::new();
@@ -250,7 +272,8 @@
                     continue;
                 }
                 let number: u64 = running.job.as_str()[3..].parse().unwrap();
-                cpus += self.jobs[&number].spec.cpus;
+                let theirs = &self.jobs[&number].spec;
+                cpus += if theirs.team == team { theirs.cpus } else { 0.0 };
                 same_zone += u64::from(running.job == task.job && worker.zone == zone);
                 if *running == task && other != id {
                     elsewhere.push(other.clone());
@@ -260,8 +283,12 @@
         if !elsewhere.is_empty() {
             self.break_rule(format!("ran_twice: {task} on {id} and {elsewhere:?}"));
         }
-        if cpus > 48.0 {
-            self.break_rule(format!("quota: {cpus}"));
+        let most = TEAMS.iter().find(|(name, ..)| *name == team).map_or(0.0, |team| team.2);
+        if cpus > most {
+            self.break_rule(format!("quota: {team} uses {cpus} of {most}, by {task}"));
+        }
+        if spec.zone.as_ref().is_some_and(|bound| *bound != ZONES[zone]) {
+            self.break_rule(format!("wrong_place: {task} in zone {}", ZONES[zone]));
         }
         if spec.spread && same_zone > spec.tasks.div_ceil(2) {
             self.break_rule(format!("wrong_place: {same_zone} of {} in a zone", spec.tasks));
--- a/src/api.rs
+++ b/src/api.rs
@@ -356,7 +356,7 @@
                 }
             }
             (Wish::Abort(_), Some(job)) if job.live().is_some() => {
-                let change = jobs::cancel(&id, job)?;
+                let change = jobs::cancel(&id, job, self.wall.ms(now), &state.layout())?;
                 let zone_of = |peer: &NodeName| self.zone_of(peer);
                 match self.promises.guards(&id, &state.cache, zone_of, now) {
                     Ok(guards) => {
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -158,6 +158,9 @@
 pub const BEHIND_FOR: Duration = Duration::from_secs(3);
 /// Added to a worker's lease before its tasks count as dead: packet and timer delays.
 pub const WORKER_MARGIN: Duration = Duration::from_millis(1500);
+/// How much longer than it may a task of a job that is over counts against its team under a new leader: two
+/// controllers' times of day differ by less, and a transaction waits less for its turn.
+pub const REST_SLACK: Duration = Duration::from_secs(10);
 /// Count. Orders in one answer to a worker, which keeps it far below 64 KiB.
 pub const ORDERS_MAX: usize = 300;
 
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -36,6 +36,7 @@
 mod elastic;
 mod keeping;
 mod learning;
+mod leftover;
 mod lost;
 mod moves;
 mod planning;
@@ -47,6 +48,7 @@
 
 use drains::Draining;
 use learning::Learning;
+use leftover::Leftover;
 use shortage::{Group, Shortage};
 use stops::Stoppable;
 use tidy::Tidy;
@@ -247,6 +249,7 @@
     /// Jobs that this process promised to stop or that others told users to be cancelled, while the cache
     /// still has them as live: nothing of theirs is started any more.
     told_cancelled: HashSet<JobId>,
+    leftover: Leftover,
     images: HashMap<Arc<str>, u32>,
     /// Kinds that refused: until when each is left alone, and how many to ask for then.
     scarce: HashMap<Kind, (Instant, u32)>,
@@ -339,6 +342,7 @@
             unrecorded: BTreeSet::new(),
             completing: BTreeSet::new(),
             told_cancelled: HashSet::new(),
+            leftover: Leftover::default(),
             images: HashMap::new(),
             scarce: HashMap::new(),
             buried: HashSet::new(),
@@ -395,6 +399,7 @@
                 foreman.work.insert(id.clone(), Work { old, ..Work::default() });
             }
         }
+        foreman.find_leftover(cache, now);
         foreman
     }
 
--- a/src/foreman/keeping.rs
+++ b/src/foreman/keeping.rs
@@ -40,8 +40,9 @@
                 JobBody::Over { cancelled, .. } => {
                     self.learn_over(id, *cancelled, now);
                     self.told_cancelled.remove(id);
-                    if self.work.remove(id).is_some() {
+                    if let Some(work) = self.work.remove(id) {
                         tracing::debug!(job = %id, cancelled, "job is over");
+                        self.leave_over(&work, job);
                     }
                     self.stop_all(id);
                 }
@@ -60,7 +61,9 @@
                 // Remembered, not only forgotten as work: the end of one of its tasks would
                 // otherwise make it new work, none of whose tasks seem to run anywhere.
                 self.told_cancelled.insert(id.clone());
-                self.work.remove(id);
+                if let Some((work, job)) = self.work.remove(id).zip(cache.jobs.get(id)) {
+                    self.leave_over(&work, job);
+                }
                 self.stop_all(id);
             }
         }
@@ -194,7 +197,11 @@
                 continue;
             }
             let tasks: Vec<u32> = work.completing.iter().copied().collect();
-            let Some(done) = jobs::complete(id, job, &tasks, now_ms, &layout) else { continue };
+            let second = job.live().filter(|live| !goes_on(live));
+            let second = second.map_or(0, |live| self.second_runs(id, work, live));
+            let Some(done) = jobs::complete(id, job, &tasks, second, now_ms, &layout) else {
+                continue;
+            };
             if !done.ends && (!marks || state.is_behind()) {
                 continue;
             }
--- a/src/foreman/planning.rs
+++ b/src/foreman/planning.rs
@@ -235,7 +235,13 @@
         // What waits for other jobs starts nothing and holds no part of a limit or guarantee.
         live.retain(|(_, job)| job.ready());
         live.sort_by(|a, b| (a.1.since_ms(), a.0).cmp(&(b.1.since_ms(), b.0)));
-        let (order, hidden) = self.claims(&live, !unsure.is_empty(), now);
+        let (order, mut hidden) = self.claims(&live, !unsure.is_empty(), now);
+        if unsure.is_empty() {
+            self.leftover.clear();
+        }
+        for (team, hidden) in hidden.iter_mut().enumerate() {
+            *hidden = hidden.plus(&self.leftover.of(team));
+        }
 
         let used = self.team_use(&sizes);
         let mut team_room: Vec<Amount> = params
--- a/src/foreman/reports.rs
+++ b/src/foreman/reports.rs
@@ -135,7 +135,7 @@
                 (self.team_of(&live.spec.team), live.need, image, urgency)
             }
             Some(JobBody::Over { rest: Some(rest), .. }) => {
-                (self.team_of(&rest.0), rest.1, Arc::from(""), Urgency::Production)
+                (self.team_of(&rest.team), rest.need, Arc::from(""), Urgency::Production)
             }
             _ => (usize::MAX, Amount::default(), Arc::from(""), Urgency::Production),
         };
--- a/src/foreman/tests.rs
+++ b/src/foreman/tests.rs
@@ -693,3 +693,62 @@
     let each = info.bytes_current as f64 / MACHINES as f64;
     assert!((2000.0..MACHINE_BYTES).contains(&each), "{each}");
 }
+
+/// A new leader of a job with so many tasks, and of two machines with records that it has not heard.
+fn taken_over(tasks: u64) -> (Bench, JobId) {
+    let mut bench = Bench::new();
+    for name in ["i-1", "i-2"] {
+        let record = MachineRecord {
+            address: "127.0.0.1:9000".into(),
+            flavor: "f".into(),
+            zone: "a".into(),
+            spot: false,
+        };
+        bench.state.cache.machines.insert(MachineId::new(name), (record, Revision(3)));
+    }
+    let job = bench.job("wk-1", Shape::Array, tasks);
+    bench.lead_anew();
+    (bench, job)
+}
+
+impl Bench {
+    fn lead_anew(&mut self) {
+        let settings = self.foreman.settings.clone();
+        let wall = Wall { at: self.now, ms: 1_000_000 };
+        let cache = &self.state.cache;
+        self.foreman = Foreman::new(Token(1), Revision(2), settings, cache, wall, self.now);
+    }
+}
+
+/// Tasks of a job that was cancelled before the take-over may run on machines that have not told yet.
+#[test]
+fn what_is_left_over_of_cancelled_jobs_counts_until_every_machine_has_told() {
+    let wall_ms = 1_000_000;
+    let cases = [
+        (Some(wall_ms), 2, "cancelled a moment ago"),
+        (Some(wall_ms - 900_000), 0, "long ago"),
+        // The version before tells neither time nor number: all that is hidden may be its.
+        (None, u64::MAX, "by the version before"),
+    ];
+    for (at_ms, tasks, what) in cases {
+        let (mut bench, id) = taken_over(2);
+        let job = bench.state.cache.jobs.get(&id).unwrap();
+        let layout = records::Layout { format: records::FORMAT, ..bench.state.layout() };
+        let change = jobs::cancel(&id, job, at_ms.unwrap_or_default(), &layout).unwrap();
+        let [Write::Put { data, .. }] = &change.writes[..] else { panic!() };
+        let mut data = data.clone();
+        if let (None, Data::Map(fields)) = (at_ms, &mut data) {
+            fields.retain(|(key, _)| !["e", "t"].contains(&key.as_text().unwrap()));
+        }
+        bench.state.cache.jobs.put_job(id.clone(), &data, Revision(9));
+        bench.lead_anew();
+        let need = Amount::need(4.0, 0.0, 4.0);
+        assert_eq!(bench.foreman.leftover.of(0), need.times(tasks), "{what}");
+        bench.report("i-1", vec![]);
+        bench.pass(PLAN_EVERY * 5);
+        assert_eq!(bench.foreman.leftover.of(0), need.times(tasks), "{what}: one has not told");
+        bench.report("i-2", vec![]);
+        bench.pass(PLAN_EVERY * 5);
+        assert_eq!(bench.foreman.leftover.of(0), Amount::default(), "{what}: all have");
+    }
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -103,11 +103,21 @@
     Over {
         cancelled: bool,
         done: u64,
-        /// Team and size of what may still run of a cancelled job.
-        rest: Option<Box<(String, Amount)>>,
+        rest: Option<Box<Rest>>,
     },
 }
 
+/// What may still be on machines of a job that is over.
+#[derive(Debug, Clone)]
+pub struct Rest {
+    pub team: String,
+    pub need: Amount,
+    /// How many tasks at most, and the time of day in milliseconds when the job ended. Versions
+    /// before this one tell neither.
+    pub tasks: Option<u64>,
+    pub ended_ms: Option<u64>,
+}
+
 #[derive(Debug, Clone)]
 pub struct Job {
     pub rev: Revision,
@@ -117,6 +127,10 @@
 }
 
 impl Job {
+    /// The time of day in milliseconds when it ended, if it did and its record says so.
+    pub fn ended_ms(&self) -> Option<u64> {
+        (self.over().is_some() && self.ended_ms > 0).then_some(self.ended_ms)
+    }
     pub fn live(&self) -> Option<&LiveJob> {
         match &self.body {
             JobBody::Live(live) => Some(live),
@@ -230,25 +244,22 @@
 }
 
 /// Ends a job as cancelled.
-pub fn cancel(id: &JobId, job: &Job) -> Option<Change> {
+pub fn cancel(id: &JobId, job: &Job, now_ms: u64, layout: &Layout) -> Option<Change> {
     let live = job.live()?;
-    Some(finish(id, job, live, Phase::Cancelled, live.done_count(), None))
+    let done = live.done_count();
+    let rest = live.spec.tasks.saturating_sub(done);
+    // Production told neither how many may run on nor since when.
+    let told = layout.second().then_some((rest, now_ms));
+    let left =
+        Record { w: Some(records::rest(&live.spec)), ..Record::live(live.accepted_ms, None) };
+    let left = Record { t: told.map(|told| told.0), e: told.map(|told| told.1), ..left };
+    Some(finish(id, job, Record { p: Phase::Cancelled, n: done, ..left }))
 }
 
 /// The end of a job is one write, whatever keys it has beside its record: those are tidied away
 /// later ([`Jobs::litter`]).
-fn finish(
-    id: &JobId,
-    job: &Job,
-    live: &LiveJob,
-    phase: Phase,
-    done: u64,
-    ended_ms: Option<u64>,
-) -> Change {
+fn finish(id: &JobId, job: &Job, record: Record) -> Change {
     let key = job_key(id);
-    let rest = (phase == Phase::Cancelled).then(|| records::rest(&live.spec));
-    let record =
-        Record { p: phase, n: done, w: rest, e: ended_ms, ..Record::live(live.accepted_ms, None) };
     Change {
         guards: vec![Guard { key: key.clone(), rev: job.rev }],
         writes: vec![Write::Put { key, data: data(&record), hold: None }],
@@ -261,12 +272,13 @@
     pub ends: bool,
 }
 
-/// Marks tasks as done; the job ends in the same change as its last task. Where marks of many keys
-/// are due, the first few go now.
+/// Marks tasks as done; the job ends in the same change as its last task, when second runs of so many
+/// tasks may still be on machines. Where marks of many keys are due, the first few go now.
 pub fn complete(
     id: &JobId,
     job: &Job,
     tasks: &[u32],
+    second_runs: u64,
     now_ms: u64,
     layout: &Layout,
 ) -> Option<Completion> {
@@ -277,7 +289,19 @@
     new.iter().for_each(|task| done.set(*task));
     let count = done.count();
     if live.spec.shape != Shape::Service && count >= live.spec.tasks {
-        let change = finish(id, job, live, Phase::Done, count, Some(now_ms));
+        let second_runs = Some(second_runs).filter(|runs| *runs > 0 && layout.second());
+        let change = finish(
+            id,
+            job,
+            Record {
+                p: Phase::Done,
+                n: count,
+                e: Some(now_ms),
+                w: second_runs.map(|_| records::rest(&live.spec)),
+                t: second_runs,
+                ..Record::live(live.accepted_ms, None)
+            },
+        );
         return Some(Completion { change, ends: true });
     }
     let mut change =
@@ -468,7 +492,12 @@
             return;
         }
         self.torn.remove(&id);
-        let rest = record.w.map(|(team, cpu, gpu, ram)| (team, Amount::need(cpu, gpu, ram)));
+        let rest = record.w.map(|(team, cpu, gpu, ram)| Rest {
+            team,
+            need: Amount::need(cpu, gpu, ram),
+            tasks: record.t,
+            ended_ms: record.e,
+        });
         let body = JobBody::Over { cancelled, done: record.n, rest: rest.map(Box::new) };
         let job = Job { rev, ended_ms: record.e.unwrap_or(0), body };
         let fate = job.fate();
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -77,7 +77,7 @@
     let mut rev = 1;
     for (nth, task) in order.iter().enumerate() {
         let job = jobs.get(&id).unwrap().clone();
-        let Some(done) = complete(&id, &job, &[*task, 99], 7, &LAYOUT) else { continue };
+        let Some(done) = complete(&id, &job, &[*task, 99], 0, 7, &LAYOUT) else { continue };
         let change = done.change;
         rev += 1;
         apply(&mut jobs, &change, rev);
@@ -94,11 +94,11 @@
     let first = record(&spec("wk-2", 2), &jobs);
     apply(&mut jobs, &first, 1);
     let job = jobs.get(&id).unwrap().clone();
-    let half = complete(&id, &job, &[0], 7, &LAYOUT).unwrap().change;
+    let half = complete(&id, &job, &[0], 0, 7, &LAYOUT).unwrap().change;
     apply(&mut jobs, &half, 2);
     apply(&mut jobs, &first, 1);
     assert_eq!(jobs.get(&id).unwrap().live().unwrap().done_count(), 1);
-    let end = cancel(&id, jobs.get(&id).unwrap()).unwrap();
+    let end = cancel(&id, jobs.get(&id).unwrap(), 9, &LAYOUT).unwrap();
     apply(&mut jobs, &end, 4);
     apply(&mut jobs, &half, 9);
     assert_eq!(jobs.get(&id).unwrap().over(), Some((JobStatus::Cancelled, 1)));
@@ -139,12 +139,15 @@
                 reported.extend(0..next);
             }
             if cancelled && round == 4 {
-                assert!(store.commit(&cancel(&id, jobs.get(&id).unwrap()).unwrap(), &LAYOUT));
+                assert!(
+                    store
+                        .commit(&cancel(&id, jobs.get(&id).unwrap(), 9, &LAYOUT).unwrap(), &LAYOUT)
+                );
                 continue;
             }
             let layout = if round < 2 { first } else { LAYOUT };
             let open: Vec<u32> = reported.iter().copied().filter(|n| !live.is_done(*n)).collect();
-            let Some(done) = complete(&id, jobs.get(&id).unwrap(), &open, 9, &layout) else {
+            let Some(done) = complete(&id, jobs.get(&id).unwrap(), &open, 0, 9, &layout) else {
                 continue;
             };
             assert!(store.commit(&done.change, &layout));
@@ -180,11 +183,11 @@
     let tasks: Vec<u32> = (0..100_000).step_by(1000).collect();
     for round in 0..7 {
         let jobs = store.read(0..store.keys.len());
-        let done = complete(&id, jobs.get(&id).unwrap(), &tasks, 9, &LAYOUT).unwrap();
+        let done = complete(&id, jobs.get(&id).unwrap(), &tasks, 0, 9, &LAYOUT).unwrap();
         assert!(!done.ends && store.commit(&done.change, &LAYOUT), "{round}");
     }
     let jobs = store.read(0..store.keys.len());
-    assert!(complete(&id, jobs.get(&id).unwrap(), &tasks, 9, &LAYOUT).is_none());
+    assert!(complete(&id, jobs.get(&id).unwrap(), &tasks, 0, 9, &LAYOUT).is_none());
     assert_eq!(jobs.get(&id).unwrap().live().unwrap().done_count(), 100);
 }
 
@@ -221,9 +224,9 @@
         assert_eq!(jobs.orphans().count(), 0);
     }
     let jobs = store.read(0..store.keys.len());
-    let done = complete(&id, jobs.get(&id).unwrap(), &[1, 1999], 9, &LAYOUT).unwrap();
+    let done = complete(&id, jobs.get(&id).unwrap(), &[1, 1999], 0, 9, &LAYOUT).unwrap();
     assert!(!done.ends && store.commit(&done.change, &LAYOUT));
-    let end = cancel(&id, jobs.get(&id).unwrap()).unwrap();
+    let end = cancel(&id, jobs.get(&id).unwrap(), 9, &LAYOUT).unwrap();
     assert!(store.commit(&end, &LAYOUT));
     let jobs = store.read(0..store.keys.len());
     assert_eq!(jobs.tidy(1000).len(), store.keys.len() - 1);
@@ -312,9 +315,9 @@
                 let n = which % accepted;
                 let job = jobs.get(&name(n)).unwrap().clone();
                 let (change, end) = match (act, job.live()) {
-                    (5, _) => (cancel(&name(n), &job), Some(true)),
+                    (5, _) => (cancel(&name(n), &job, 9, &LAYOUT), Some(true)),
                     (6.., Some(live)) if live.ready() => {
-                        let done = complete(&name(n), &job, &[0], 9, &LAYOUT);
+                        let done = complete(&name(n), &job, &[0], 0, 9, &LAYOUT);
                         (done.map(|done| done.change), Some(false))
                     }
                     // Tidying up changes no answer.
@@ -399,7 +402,7 @@
             assert_eq!(first.urgency, wire::Urgency::Production);
             let layers = if needs(4999).len() == 1 { 4999 } else { 999 };
             assert_eq!(first.due_ms, Some(1_000_000 - layers * 10));
-            let end = cancel(&name(0), jobs.get(&name(0)).unwrap()).unwrap();
+            let end = cancel(&name(0), jobs.get(&name(0)).unwrap(), 9, &LAYOUT).unwrap();
             jobs.take_changed();
             apply(&mut jobs, &end, 2);
             let over = jobs.all.values().filter(|job| job.over().is_some()).count();
--- a/src/records.rs
+++ b/src/records.rs
@@ -84,10 +84,13 @@
     /// against the team's limit until they are gone.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub w: Option<(String, f64, f64, f64)>,
-    /// Milliseconds of the time of day when it was done: from then the times of jobs that need it
-    /// count. Production ignores it and never rewrites the record of a job that is over.
+    /// Milliseconds of the time of day when it was done, or was to be cancelled: from its end the times
+    /// of jobs that need it count. Production ignores it and never rewrites the record of a job that is over.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub e: Option<u64>,
+    /// How many tasks may still be on machines of a job that is over. Production ignores it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub t: Option<u64>,
     /// Second layout: the description stands elsewhere. Production would take such a record for a
     /// job that is done.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -96,7 +99,8 @@
 
 impl Record {
     pub fn live(at: u64, spec: Option<Arc<JobSpec>>) -> Record {
-        Record { p: Phase::Live, at, s: spec, d: String::new(), n: 0, w: None, e: None, x: None }
+        let d = String::new();
+        Record { p: Phase::Live, at, s: spec, d, n: 0, w: None, e: None, t: None, x: None }
     }
 }
 
--- a/tests/aimed.rs
+++ b/tests/aimed.rs
@@ -41,9 +41,11 @@
 
 /// A day, its troubles, and which of them have to show an effect.
 type Meeting = (Day, Troubles, &'static [&'static str]);
+/// The meeting of a seed.
+type Meet = fn(u64) -> Meeting;
 
 /// How many of these days break a rule; all of them have to bring their meeting about.
-fn broken(meeting: fn(u64) -> Meeting, seeds: std::ops::Range<u64>) -> usize {
+fn broken(meeting: Meet, seeds: std::ops::Range<u64>) -> usize {
     let mut days = 0;
     for seed in seeds {
         let (day, troubles, effects) = meeting(seed);
@@ -60,7 +62,7 @@
     days
 }
 
-fn holds(meeting: fn(u64) -> Meeting, seeds: std::ops::Range<u64>) {
+fn holds(meeting: Meet, seeds: std::ops::Range<u64>) {
     assert_eq!(broken(meeting, seeds), 0);
 }
 
@@ -281,7 +283,7 @@
     }
 }
 
-const MEETINGS: [(&str, fn(u64) -> Meeting); 6] = [
+const MEETINGS: [(&str, Meet); 6] = [
     ("close looks", close_looks),
     ("lost answers", lost_answers),
     ("teams at their limit", teams_at_their_limit),
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -122,11 +122,11 @@
         take(&mut jobs, "accepted", 1);
         let job = jobs.get(&JobId::new(id)).unwrap();
         let some: Vec<u32> = (0..tasks as u32).step_by(step).collect();
-        let change = jobs::complete(&JobId::new(id), job, &some, 5, &LOW).unwrap().change;
+        let change = jobs::complete(&JobId::new(id), job, &some, 0, 5, &LOW).unwrap().change;
         assert_eq!(written(&change), made("some-done", id));
         take(&mut jobs, "some-done", 2);
         let job = jobs.get(&JobId::new(id)).unwrap();
-        let change = jobs::cancel(&JobId::new(id), job).unwrap();
+        let change = jobs::cancel(&JobId::new(id), job, 5, &LOW).unwrap();
         assert_eq!(written(&change), made("cancelled", id));
     }
 }
