Of two attempts that reports show the later goes on, and a task is free when none is shown

Cause: an old report of the machine that a task had left could reach a new leader before the news of the machine where it ran. Change: no attempt is started before all earlier ones are surely gone, so the earlier of two is old news: the later is kept, the earlier remembered beside it (Work::twice), and the task waits again only when none is left.

--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -120,6 +120,9 @@
     /// When this leader first saw it.
     known: Option<Instant>,
     placed: BTreeMap<u32, (MachineId, Attempt)>,
+    /// Attempts of tasks that an old report showed, or shows still, beside the placed one: such a task is free
+    /// only once none is left.
+    twice: Vec<(u32, MachineId, Attempt)>,
     /// Reported done, not committed yet.
     completing: BTreeSet<u32>,
     /// Not before, and how often it failed.
--- a/src/foreman/leftover.rs
+++ b/src/foreman/leftover.rs
@@ -76,7 +76,7 @@
             let entry = self.machines.get(machine)?.entries.get(&(task, *attempt))?;
             (entry.state != TaskState::Exited).then_some(())
         };
-        let known = work.placed.iter().filter_map(runs).count();
+        let known = work.placed.iter().filter_map(runs).count() + work.twice.len();
         let unsure = work.old && self.machines.values().any(|machine| !machine.confirmed);
         known as u64 + if unsure { live.spec.tasks } else { 0 }
     }
--- a/src/foreman/reports.rs
+++ b/src/foreman/reports.rs
@@ -151,25 +151,42 @@
         let Some(work) = work else {
             return machine.stop(&key, Stop { grace_s: 0.0, reason: OVER });
         };
-        match work.placed.get(&task.index) {
-            None => {
-                work.placed.insert(task.index, (machine.id.clone(), attempt));
-            }
-            Some(other) if !exited => {
-                tracing::error!(%task, %attempt, other = %other.0, "a task was found twice");
-                machine.stop(&key, Stop { grace_s: 0.0, reason: "found twice" });
-            }
-            Some(_) => {}
+        let Some((other, theirs)) = work.placed.get(&task.index).cloned() else {
+            work.placed.insert(task.index, (machine.id.clone(), attempt));
+            return;
+        };
+        if exited {
+            return;
+        }
+        // No attempt is started before all earlier ones are surely gone, so the report that shows the earlier
+        // one is an old one. The later one goes on; the task is free only when neither is shown any more.
+        tracing::info!(%task, %attempt, other = %other, %theirs, "an old report shows a task twice");
+        let late = if attempt > theirs {
+            work.placed.insert(task.index, (machine.id.clone(), attempt));
+            (other, theirs)
+        } else {
+            (machine.id.clone(), attempt)
+        };
+        work.twice.push((task.index, late.0.clone(), late.1));
+        if let Some(machine) = self.machines.get_mut(&late.0) {
+            machine.stop(&(task, late.1), Stop { grace_s: 0.0, reason: "found twice" });
         }
     }
 
     pub(super) fn release(&mut self, task: &TaskId, attempt: Attempt, now: Instant) {
-        if let Some(work) = self.work.get_mut(&task.job)
-            && work.placed.get(&task.index).is_some_and(|(_, placed)| *placed == attempt)
-            && !work.completing.contains(&task.index)
-        {
-            work.placed.remove(&task.index);
-            work.again(task.index, now);
+        if let Some(work) = self.work.get_mut(&task.job) {
+            work.twice.retain(|(index, _, other)| (*index, *other) != (task.index, attempt));
+            let placed = work.placed.get(&task.index).is_some_and(|(_, placed)| *placed == attempt);
+            if placed && !work.completing.contains(&task.index) {
+                work.placed.remove(&task.index);
+                match work.twice.iter().position(|(index, ..)| *index == task.index) {
+                    Some(at) => {
+                        let (index, machine, attempt) = work.twice.swap_remove(at);
+                        work.placed.insert(index, (machine, attempt));
+                    }
+                    None => work.again(task.index, now),
+                }
+            }
         }
         self.plan_wanted = true;
     }
--- a/src/foreman/tests.rs
+++ b/src/foreman/tests.rs
@@ -720,6 +720,45 @@
     }
 }
 
+fn runs(job: &JobId, attempt: u64) -> ReportedTask {
+    ReportedTask {
+        task: TaskId { job: job.clone(), index: 0 },
+        attempt: Attempt(attempt),
+        state: TaskState::Running,
+        why: None,
+        saved: None,
+    }
+}
+
+/// An old report of the machine that a task has left reaches a new leader before the news of the one where it
+/// runs. The one that ran was once told to stop, and its task started a third time at once.
+#[test]
+fn a_task_that_an_old_report_shows_too_goes_on_where_it_was_started_last() {
+    for old_first in [true, false] {
+        let (mut bench, job) = taken_over(1);
+        let mut shown = [("i-1", runs(&job, 5)), ("i-2", runs(&job, 9))];
+        if !old_first {
+            shown.reverse();
+        }
+        for (machine, task) in shown {
+            bench.report(machine, vec![task]);
+        }
+        for round in 0..20 {
+            bench.pass(PLAN_EVERY * 5);
+            let starts = |order: &Order| matches!(order, Order::Start { .. });
+            let orders = bench.report("i-1", vec![]);
+            assert!(!orders.iter().any(starts), "round {round}: {orders:?}");
+            let orders = bench.report("i-2", vec![runs(&job, 9)]);
+            assert!(orders.is_empty(), "round {round}: {orders:?}");
+        }
+        // Free only once it is shown nowhere.
+        bench.report("i-2", vec![]);
+        bench.pass(PLAN_EVERY * 5);
+        let placed = &bench.foreman.work[&job].placed;
+        assert!(placed.len() == 1 && placed[&0].1 > Attempt(9), "{placed:?}");
+    }
+}
+
 /// Tasks of a job that was cancelled before the take-over may run on machines that have not told yet.
 #[test]
 fn what_is_left_over_of_cancelled_jobs_counts_until_every_machine_has_told() {
