--- a/crates/standins/src/aims.rs
+++ b/crates/standins/src/aims.rs
@@ -54,6 +54,20 @@
                 self.aims.odd_requests = on;
                 self.odd();
             }
+            Fault::LoseMachines(count) => {
+                let busy = self.workers.values_mut().filter(|w| !w.gone && !w.tasks.is_empty());
+                for worker in busy.take(count) {
+                    worker.gone = true;
+                    worker.tasks.clear();
+                    self.aims.took_effect("machines lost");
+                }
+            }
+            Fault::LeaderEnds(back) => {
+                if let Some(leader) = (0..self.nodes.len()).find(|node| self.leads(*node)) {
+                    self.aims.took_effect("leader ends");
+                    self.fault(Fault::Blink(leader, back));
+                }
+            }
             Fault::QuickBoots(on) => self.aims.quick_boots = on,
             _ => {}
         }
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -83,6 +83,8 @@
             | Fault::CancelNow(_)
             | Fault::CancelAtEnd(_)
             | Fault::OddRequests(_)
+            | Fault::LoseMachines(_)
+            | Fault::LeaderEnds(_)
             | Fault::QuickBoots(_)) => self.aim(fault),
             Fault::TakeMachine => {
                 if let Some(worker) = self.workers.values_mut().find(|w| !w.gone && w.spot) {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -216,6 +216,10 @@
     CancelAtEnd(bool),
     /// Submissions that are broken or repeated, cancellations of what is done, questions about nothing.
     OddRequests(bool),
+    /// So many machines with tasks are lost without notice.
+    LoseMachines(usize),
+    /// Whoever leads ends, and is back after so many milliseconds.
+    LeaderEnds(u64),
     /// New machines are up within two seconds, mostly before the answer to their rental comes.
     QuickBoots(bool),
 }
--- a/src/drains.rs
+++ b/src/drains.rs
@@ -3,11 +3,15 @@
 
 use crate::records;
 use crate::state::Cache;
+use crate::wire::Data;
 use serde::{Deserialize, Serialize};
 use troutspindle_protocol::ops::DrainKind;
 
 pub const DRAIN_PREFIX: &str = "t/q/";
 
+/// What stands in the key of an order that was taken back.
+pub const TAKEN_BACK: Data = Data::Bool(false);
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainRecord {
     pub kind: DrainKind,
--- a/src/node.rs
+++ b/src/node.rs
@@ -336,7 +336,7 @@
             reason: order.reason,
         };
         let key = drains::key(record.kind, &record.name);
-        self.order(ticket, key, Some(records::data(&record)))
+        self.order(ticket, key, records::data(&record))
     }
 
     fn on_undrain(&mut self, ticket: u64, body: &[u8]) -> Option<Response> {
@@ -347,22 +347,18 @@
         if !self.state.cache.drains.contains_key(&key) {
             return Some(Response::empty(422));
         }
-        self.order(ticket, key, None)
+        self.order(ticket, key, drains::TAKEN_BACK)
     }
 
-    /// Writes a drain, or removes it, guarded by what this controller knows of it: of two operators at once one
-    /// is told to look again.
-    fn order(&mut self, ticket: u64, key: String, data: Option<Data>) -> Option<Response> {
+    /// Writes a drain, or that it is taken back, guarded by what this controller knows of it: of two operators at
+    /// once one is told to look again.
+    fn order(&mut self, ticket: u64, key: String, data: Data) -> Option<Response> {
         if !self.state.cache.loaded {
             return Some(Response::later(503));
         }
-        let rev = self.state.cache.drains.get(&key).map(|(_, rev)| *rev).unwrap_or_default();
+        let rev = self.state.cache.drain_keys.get(&key).copied().unwrap_or_default();
         let guards = vec![Guard { key: key.clone(), rev }];
-        let write = match data {
-            Some(data) => Write::Put { key, data, hold: None },
-            None => Write::Delete { key },
-        };
-        let change = jobs::Change { guards, writes: vec![write] };
+        let change = jobs::Change { guards, writes: vec![Write::Put { key, data, hold: None }] };
         self.state.push(Item { rank: Rank::Awaited, origin: Origin::Operator(ticket), change });
         None
     }
--- a/src/presence/tests.rs
+++ b/src/presence/tests.rs
@@ -197,3 +197,29 @@
     }
     assert!(cancelled > 2500, "{cancelled}");
 }
+
+/// A transaction may be carried out minutes late. Between, the other controller showed a sign of life and lost it
+/// again, or the sender was started anew and remembers nothing: in both cases it has to find a guard changed.
+#[test]
+fn a_late_cancellation_finds_that_a_controller_has_lived_since() {
+    let (me, peer, id) = (NodeName::new("me"), NodeName::new("f"), JobId::new("wk-1"));
+    let now = Instant::now();
+    let mut cache = Cache::new(16);
+    cache.loaded = true;
+    let version = VersionRecord { format: FORMAT, chunk: 16 };
+    cache.versions.insert(peer.clone(), (version, Revision(5)));
+    let mut promises = Promises::new(vec![peer.clone()], LEASE_S, CANCEL_S);
+    promises.under(presence_key(&me), Revision(7));
+    promises.look(&cache, now);
+    let later = now + Duration::from_secs(60);
+    let guards = promises.guards(&id, &cache, |_| None, later).unwrap();
+    let keys = [presence_key(&me), presence_key(&peer), records::version_key(&peer)];
+    let holds = |revs: [u64; 3]| {
+        let now = |key: &String| keys.iter().position(|known| known == key).map(|at| revs[at]);
+        guards.iter().all(|guard| now(&guard.key) == Some(guard.rev.0))
+    };
+    assert!(holds([7, 0, 5]), "{guards:?}");
+    assert!(!holds([7, 9, 9]), "it is there");
+    assert!(!holds([7, 0, 9]), "it was there meanwhile");
+    assert!(!holds([11, 0, 5]), "the sender was started anew");
+}
