--- a/tests/aimed.rs
+++ b/tests/aimed.rs
@@ -289,7 +289,7 @@
     let mut troubles: Troubles = (0..10)
         .map(|n| (BEGIN + every * n, Fault::LeaderEnds(60 + 90 * (n + seed) % 700)))
         .collect();
-    if seed % 2 == 0 {
+    if seed.is_multiple_of(2) {
         troubles.extend(lasting(BEGIN + 12_000, 9000, Fault::Outage));
         troubles.extend(lasting(BEGIN + 30_000, 5000, Fault::Outage));
     }
