Whoever holds a later leader's grant keeps to its bars, though it led itself; a table of bad input

Cause: a leader that the store refuses acknowledged its successor's bars, and answered barred machines by its own token once it heard nobody. The successor reckons such a machine's lease from the acknowledgement: ran_twice was possible. Change: with a later grant it answers by that grant, like every other controller. Tests: bad submissions field by field, and what can never run; both found nothing.

--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -179,3 +179,131 @@
     assert_eq!(judge("t", 4.0, 3), Some("beyond its team's limit"));
     assert_eq!(judge("nobody", 1.0, 1), Some("unknown team"));
 }
+
+/// Each field by its kind, as PROTOCOL's table of `POST /api/jobs` has it.
+#[derive(Clone, Copy, PartialEq)]
+enum Field {
+    Id,
+    Name,
+    /// May be empty.
+    Text,
+    Word,
+    Flag,
+    Count,
+    Amount,
+    MayBeNull,
+}
+
+const FIELDS: [(&str, Field); 20] = [
+    ("nameId", Field::Id),
+    ("runKind", Field::Name),
+    ("owner", Field::Name),
+    ("shape", Field::Word),
+    ("urgency", Field::Word),
+    ("legs", Field::Count),
+    ("vcpus", Field::Amount),
+    ("cards", Field::Amount),
+    ("ramGb", Field::Amount),
+    ("bundle", Field::Text),
+    ("imageGb", Field::Amount),
+    ("flavors", Field::MayBeNull),
+    ("hall", Field::MayBeNull),
+    ("samePlace", Field::Flag),
+    ("spread", Field::Flag),
+    ("lendable", Field::Flag),
+    ("expectS", Field::Amount),
+    ("snapshotEveryS", Field::Amount),
+    ("snapshotS", Field::Amount),
+    ("dueS", Field::MayBeNull),
+];
+
+/// "400: malformed: not CBOR, not a map, or a field is missing or invalid." "Any field that may be null may also be
+/// omitted." "Unknown fields must be ignored by receivers." "Retrying an accepted job returns 200 with the job's
+/// current state", whatever the retry says.
+#[test]
+fn a_broken_submission_is_malformed_unless_its_job_is_known() {
+    let whole = jobs::plain_spec("wk-1", 2);
+    let Data::Map(fields) = records::data(&whole) else { panic!() };
+    // None: without the field.
+    let with = |id: &str, name: &str, value: Option<Data>| {
+        let mut fields = fields.clone();
+        fields.retain(|(key, _)| !["nameId", name].contains(&key.as_text().unwrap()));
+        if name != "nameId" {
+            fields.push((Data::from("nameId"), Data::from(id)));
+        }
+        fields.extend(value.map(|value| (Data::from(name), value)));
+        wire::encode(&Data::Map(fields))
+    };
+    let amounts = [-1.0, 1e300, f64::NAN, f64::INFINITY, f64::NEG_INFINITY].map(Data::from);
+    let mut asked = Asked::new(2);
+    let mut broken = 0;
+    for (name, field) in FIELDS {
+        let mut values = vec![Some(Data::Array(vec![Data::Null])), Some(Data::Map(vec![]))];
+        if field == Field::MayBeNull {
+            let id = format!("wk-9{broken}");
+            assert_eq!(asked.ask(&with(&id, name, Some(Data::Null))).status, 201, "{name}: null");
+            assert_eq!(asked.ask(&with(&format!("{id}0"), name, None)).status, 201, "{name}: none");
+        } else {
+            values.extend([None, Some(Data::Null)]);
+        }
+        let more = match field {
+            Field::Id => ["", "1", "wk-", "wk-x", "wk-1 ", "WK-1"].map(Data::from).to_vec(),
+            Field::Name => vec![Data::from(""), Data::from(7), Data::from("x".repeat(1000))],
+            Field::Text => vec![Data::from(7), Data::from("x".repeat(1000))],
+            Field::Word => ["", "other"].map(Data::from).to_vec(),
+            Field::Flag => vec![Data::from(1), Data::from("true")],
+            Field::Count => {
+                vec![Data::from(0), Data::from(-1), Data::from(1.5), Data::from(100_001)]
+            }
+            Field::Amount => [&amounts[..], &[Data::from("1")]].concat(),
+            Field::MayBeNull if name == "dueS" => amounts.to_vec(),
+            Field::MayBeNull => vec![Data::from(7)],
+        };
+        values.extend(more.into_iter().map(Some));
+        for value in values {
+            let answer = asked.ask(&with("wk-1", name, value.clone()));
+            assert_eq!(answer.status, 400, "{name}: {value:?}");
+            broken += 1;
+        }
+    }
+    assert!(broken > 100 && asked.state.cache.jobs.get(&JobId::new("wk-1")).is_none());
+    for body in [&b""[..], b"{", b"\xff", &wire::encode(&Data::from("wk-1")), b"\x80"] {
+        assert_eq!(asked.ask(body).status, 400);
+    }
+    let mut twice = wire::encode(&whole);
+    twice.push(0);
+    assert_eq!(asked.ask(&twice).status, 400, "more than one item");
+    assert_eq!(asked.ask(&with("wk-1", "colour", Some(Data::from("red")))).status, 201);
+    // Known by now.
+    for (name, _) in FIELDS.into_iter().skip(1) {
+        for value in [None, Some(Data::Map(vec![]))] {
+            assert_eq!(asked.ask(&with("wk-1", name, value)).status, 200, "{name}");
+        }
+    }
+}
+
+/// "422: can never run: unknown team, a task fits no allowed machine type, or the job needs more than the team's limit
+/// (array: one task; service: all tasks)."
+#[test]
+fn what_can_never_run_is_refused_for_good_unless_its_job_is_known() {
+    let plain = jobs::plain_spec("wk-1", 2);
+    let spec = || JobSpec { team: "t".into(), ..plain.clone() };
+    let never = [
+        JobSpec { team: "nobody".into(), ..spec() },
+        JobSpec { cpus: 9.0, ..spec() },
+        JobSpec { gpus: 1.0, ..spec() },
+        JobSpec { ram_gb: 1e6, ..spec() },
+        JobSpec { flavors: Some(vec![]), ..spec() },
+        JobSpec { flavors: Some(vec!["unknown".into()]), ..spec() },
+        JobSpec { zone: Some("nowhere".into()), ..spec() },
+        JobSpec { shape: Shape::Service, tasks: 9, cpus: 1.0, ..spec() },
+    ];
+    let mut asked = Asked::new(2);
+    for spec in &never {
+        assert_eq!(asked.ask(&wire::encode(spec)).status, 422, "{spec:?}");
+    }
+    assert_eq!(asked.ask(&wire::encode(&JobSpec { tasks: 9, cpus: 1.0, ..spec() })).status, 201);
+    for spec in &never {
+        assert_eq!(asked.ask(&wire::encode(spec)).status, 200, "known: {spec:?}");
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -478,17 +478,21 @@
         let near = |view: &PeerView| now.saturating_duration_since(view.heard) < VOUCH_AFTER;
         let alone = !self.peers.values().any(near)
             || self.state.lost(now) && self.later_leader(now).is_none();
+        // Whoever holds a later leader's grant keeps to it, and to its bars, though it led itself.
+        let latest = newest.max(self.voucher.ack().0);
         let token = match &mut self.foreman {
-            None => self.voucher.answer(&report.machine, newest, now)?,
             // A leader that lost its right answers as those do to whom it gave theirs, but only where it
             // is alone or out of the store's reach: else it would hold workers that others can serve.
-            Some(foreman) if foreman.token >= newest && alone => {
+            Some(foreman) if foreman.token >= latest => {
+                if !alone {
+                    return None;
+                }
                 let token = foreman.vouch(&report.machine, now)?;
                 // A successor has to learn of it.
                 self.voucher.note(&report.machine, now);
                 token
             }
-            Some(_) => return None,
+            _ => self.voucher.answer(&report.machine, newest, now)?,
         };
         let cache = &self.state.cache;
         let over = |id| {
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -200,3 +200,46 @@
     assert_eq!(guarded, [Revision(0), Revision(0), Revision(7), Revision(9)]);
     assert_eq!(node.state.cache.drains.len(), 1);
 }
+
+/// A leader that lost its right, and has acknowledged a successor's grant, keeps to the successor's bars: that one
+/// reckons the lease of a machine that it barred from what is acknowledged. It once went on answering all of its own.
+#[test]
+fn a_leader_that_knows_of_its_successor_answers_as_those_do_to_whom_that_one_gave_grants() {
+    let start = Instant::now();
+    let settings = Arc::new(crate::settings::plain(r#"[{"name":"t","cpus_max":8.0}]"#));
+    let wall = Wall { at: start, ms: 5 };
+    let mut node = Node::new(settings.clone(), 1, wall).unwrap();
+    node.state.poll(start);
+    let (id, _) = node.state.calls.pop_front().unwrap();
+    let page = wire::Page { rows: vec![], truncated: false, rev: Revision(1) };
+    node.state.on_reply(id, StateReply::Page(page), start);
+    node.state.cache.flavors.0 = vec![crate::settings::plain_flavor()];
+    let report = |name: &str| Report {
+        machine: MachineId::new(name),
+        address: "127.0.0.1:9000".into(),
+        flavor: "f".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        token: Token(1),
+        notice_s: None,
+        tasks: Vec::new(),
+    };
+    let cache = &node.state.cache;
+    let mut foreman = Foreman::new(Token(1), Revision(2), settings, cache, wall, start);
+    for name in ["i-1", "i-2"] {
+        foreman.on_report(&report(name), cache, start);
+    }
+    node.foreman = Some(foreman);
+    // Nobody is heard, and what is known of the store is new.
+    let now = start + VOUCH_AFTER * 2;
+    node.state.synced_at = Some(now);
+    let token = |node: &mut Node, name: &str| node.vouch(&report(name), now).map(|o| o.token);
+    assert_eq!(token(&mut node, "i-1"), Some(Token(1)));
+    let barred = vec![MachineId::new("i-1")];
+    node.voucher.take((Token(2), 1), (barred, vec![]), true, start, start);
+    assert_eq!(node.voucher.ack(), (Token(2), 1));
+    assert_eq!(token(&mut node, "i-1"), None);
+    assert_eq!(token(&mut node, "i-2"), Some(Token(2)));
+}
