A leader out of its right answers machines that it had barred for their silence

A leader that is cut off with its workers can't tell its successor whom it answers; the successor bars them as silent. When they come to it in an outage of the store, in which it can't act, it refused them for its own bar until their leases had run out. Change: its bar binds the others; it reckons leases from its own answers, so it answers them. Not where a start of a cancelled job may be on its way (Machine::is_doomed, which grants use too).

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -463,6 +463,16 @@
         self.entries.values().all(|entry| entry.state == TaskState::Exited)
     }
 
+    /// A start of a cancelled job may be held back on its way there: as long as anybody keeps the session alive it
+    /// could still be executed, however late. Ending the session in time is the only way to stop it.
+    pub fn is_doomed(&self) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| {
+            let over = entry.stopped_for(crate::foreman::OVER);
+            entry.flying > 0 && !entry.seen && over
+        })
+    }
+
     /// Whether its lease has surely run out, if nobody answered it later than we did and than
     /// `others`.
     pub fn lease_over(&self, others: Option<Instant>, lease: Duration, now: Instant) -> bool {
--- a/src/foreman.rs
+++ b/src/foreman.rs
@@ -56,7 +56,7 @@
 /// Why a task was stopped, where the reason is asked for later.
 const PREEMPTED: &str = "preempted";
 const MOVED: &str = "moved";
-const OVER: &str = "its job is over";
+pub(crate) const OVER: &str = "its job is over";
 
 type TaskAttempt = (TaskId, Attempt);
 
@@ -452,8 +452,10 @@
     /// The token to answer a report with once our right to act has ended, as those answer to whom we
     /// gave grants. A successor reckons with such answers for a full term from its start.
     pub fn vouch(&mut self, id: &MachineId, now: Instant) -> Option<Token> {
+        let every = self.settings.report_every();
         let machine = self.machines.get_mut(id)?;
-        if machine.barred_since.is_some() {
+        // What is barred since it was silent is none the less answered here: we reckon with our own answers.
+        if machine.silent_for(now) > every && machine.is_doomed() {
             return None;
         }
         // Should we lead on, its lease counts from here.
@@ -499,15 +501,8 @@
         for machine in self.machines.values_mut() {
             let told = self.grants.told(&machine.id);
             let vouched = told.is_some_and(|at| now.saturating_duration_since(at) < quiet);
-            // A start of a cancelled job may be held back on its way there: as long as others keep
-            // the session alive it could still be executed, however late. Ending the session in
-            // time is the only way to stop it.
-            let doomed = |machine: &Machine| {
-                let mut entries = machine.entries.values();
-                entries.any(|entry| entry.flying > 0 && !entry.seen && entry.stopped_for(OVER))
-            };
             let dead = machine.silent_for(now) > quiet && !cut_off[machine.zone] && !vouched;
-            if dead || (machine.silent_for(now) > every && doomed(machine)) {
+            if dead || (machine.silent_for(now) > every && machine.is_doomed()) {
                 machine.barred_since.get_or_insert(self.grants.number);
                 barred.push(machine.id.clone());
                 continue;
--- a/src/foreman/tests.rs
+++ b/src/foreman/tests.rs
@@ -791,3 +791,31 @@
         assert_eq!(bench.foreman.leftover.of(0), Amount::default(), "{what}: all have");
     }
 }
+
+/// In an outage its own bar is no reason for a leader to let a worker's lease run out that comes back to it; a start
+/// of a cancelled job that may be on its way there is.
+#[test]
+fn a_leader_out_of_its_right_answers_what_it_barred_but_not_what_a_late_start_may_reach() {
+    let mut bench = Bench::new();
+    bench.report("i-1", vec![]);
+    let id = bench.job("wk-1", Shape::Array, 1);
+    bench.pass(PLAN_EVERY * 5);
+    let machine = MachineId::new("i-1");
+    let flies = |bench: &mut Bench, over: bool| {
+        let known = bench.foreman.machines.get_mut(&machine).unwrap();
+        for entry in known.entries.values_mut() {
+            let reason = if over { OVER } else { "moved" };
+            (entry.flying, entry.seen) = (1, false);
+            entry.stop = Some(Stop { grace_s: 0.0, reason });
+        }
+        assert_eq!(known.entries.len(), 1);
+    };
+    flies(&mut bench, false);
+    bench.now += bench.foreman.settings.worker_lease();
+    bench.foreman.grant(&NodeName::new("n-1"), 1, bench.now);
+    assert!(bench.foreman.machines[&machine].barred_since.is_some());
+    assert_eq!(bench.foreman.vouch(&machine, bench.now), Some(Token(1)));
+    assert_eq!(bench.foreman.machines[&machine].answered, bench.now);
+    flies(&mut bench, true);
+    assert_eq!(bench.foreman.vouch(&machine, bench.now), None, "{id}");
+}
