--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -166,3 +166,10 @@
         world
     }
 }
+
+/// Which seeds a person asked for in SEEDS, from which to which.
+pub fn seeds_asked(usual: &str) -> std::ops::Range<u64> {
+    let seeds = std::env::var("SEEDS").unwrap_or(usual.into());
+    let (from, to) = seeds.split_once("..").unwrap();
+    from.parse().unwrap()..to.parse().unwrap()
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -34,6 +34,7 @@
 pub use troutspindle_protocol::ops::DrainKind;
 
 pub use aims::Aims;
+pub use faults::seeds_asked;
 pub use looks::{Ask, Asked, Told};
 
 mod aims;
--- a/tests/aimed.rs
+++ b/tests/aimed.rs
@@ -364,13 +364,11 @@
 #[test]
 #[ignore = "minutes; SEEDS: from which to which"]
 fn thousands_of_days() {
-    let seeds = std::env::var("SEEDS").unwrap_or("1000..1200".into());
-    let (from, to) = seeds.split_once("..").unwrap();
-    let (from, to): (u64, u64) = (from.parse().unwrap(), to.parse().unwrap());
+    let seeds = seeds_asked("1000..1200");
     let mut all = 0;
     for (name, meeting) in MEETINGS {
-        let days = broken(meeting, from..to);
-        println!("{name}: {} days, {days} broken", to - from);
+        let days = broken(meeting, seeds.clone());
+        println!("{name}: {} days, {days} broken", seeds.end - seeds.start);
         all += days;
     }
     assert_eq!(all, 0);
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -151,10 +151,9 @@
 #[test]
 #[ignore = "minutes; SEEDS: from which to which"]
 fn thousands_of_meetings() {
-    let seeds = std::env::var("SEEDS").unwrap_or("1000..2000".into());
-    let (from, to) = seeds.split_once("..").unwrap();
-    let (from, to): (u64, u64) = (from.parse().unwrap(), to.parse().unwrap());
-    let broken = meetings(from..to);
-    println!("{} days, {broken} broken", to - from);
+    let seeds = seeds_asked("1000..2000");
+    let days = seeds.end - seeds.start;
+    let broken = meetings(seeds);
+    println!("{days} days, {broken} broken");
     assert_eq!(broken, 0);
 }
