--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -2,7 +2,7 @@
 
 Every stand-in follows PROTOCOL; faults are switched on by the test that uses it. Standard library only.
 """
-import asyncio, json, os, random, re, signal, socket, struct, subprocess, sys, tempfile, time
+import asyncio, json, os, random, re, shutil, signal, socket, struct, subprocess, sys, tempfile, time
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -804,6 +804,8 @@
                 c.proc.kill()
                 c.proc.wait()
         self.record.close()
+        if not os.environ.get("KEEP"):  # KEEP=1 leaves the controllers' settings and logs
+            shutil.rmtree(self.dir, ignore_errors=True)
 
     # what runs where
     def cancelled_root(self, job):
