--- a/review/lib2/cluster.py
+++ b/review/lib2/cluster.py
@@ -6,11 +6,14 @@
 import os
 import pathlib
 import shlex
+import shutil
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 
 import cbor
 import web
@@ -39,6 +42,31 @@
          "marketPrice": 0.36, "startupS": 35.0, "halls": ["akl-east", "hlz-south"]}
 
 
+STARTED = []  # all processes of this case
+
+
+def execute(main):
+    """Runs the case and ends this process with its exit status; 2 if it raises an exception or is ended from outside."""
+
+    def ended():
+        for process in STARTED:
+            process.kill()
+        os._exit(2)
+
+    async def run():
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, ended)
+        try:
+            status = await main()
+        except Exception:
+            traceback.print_exc()
+            status = 2
+        sys.stderr.flush()
+        os._exit(status)
+
+    asyncio.run(run())
+
+
 class Record:
     """record.txt: what was sent, answered and run, with the seconds since the start."""
 
@@ -82,6 +110,7 @@
         log = open(pathlib.Path(self.dir) / f"{self.names[n]}.log", "a")
         env = {**os.environ, "LOG_LEVEL": self.log_level}
         self.processes[n] = subprocess.Popen([*self.command, str(path)], cwd=REPO, stderr=log, stdout=log, env=env)
+        STARTED.append(self.processes[n])
         self.record(f"test: started {self.names[n]}")
 
     def signal(self, n, number):
@@ -89,11 +118,14 @@
         self.processes[n].send_signal(number)
 
     def stop_all(self):
+        """Ends all processes and removes their logs, unless KEEP_LOGS is set."""
         for process in self.processes:
             if process is not None and process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.dir, ignore_errors=True)
 
     async def up(self, n):
         status, _, _ = await self._probe(n)
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -55,6 +55,11 @@
                 "lendable": self.lendable, "tenure": self.tenure, "tally": self.tally, "baton": self.baton,
                 "recallS": None, "legs": legs}
 
+    def report_bytes(self):
+        """The size of a report as it is sent, without counting it as a report."""
+        self.tally -= 1
+        return len(cbor.encode(self.report()))
+
     async def _lease_loop(self):
         while True:
             await asyncio.sleep(0.05)
--- a/review/lib2/web.py
+++ b/review/lib2/web.py
@@ -114,19 +114,18 @@
 
     async def _accept(self, reader, writer):
         self.writers.add(writer)
+        to_writer = None
         try:
             await self.is_open.wait()
             to_reader, to_writer = await asyncio.open_connection(HOST, self.to)
-        except OSError:
-            writer.close()
-            return
-        self.writers.add(to_writer)
-        try:
+            self.writers.add(to_writer)
             await asyncio.gather(self._pump(reader, to_writer), self._pump(to_reader, writer))
-        except asyncio.CancelledError:
+        except (OSError, asyncio.CancelledError):
             pass
-        self.writers.discard(writer)
-        self.writers.discard(to_writer)
+        finally:
+            writer.close()
+            self.writers.discard(writer)
+            self.writers.discard(to_writer)
 
     async def _pump(self, reader, writer):
         try:
