Simulation and scale test: copies of answered direct commands, failing

The records show a start that was carried out and answered 5.4 s before reach its worker once more; the attempt had been forgotten and its task was started on another machine.

The judge tells terms apart by the attempts of their starts instead of by the tokens that workers saw.

--- a/crates/protocol/src/ids.rs
+++ b/crates/protocol/src/ids.rs
@@ -61,6 +61,11 @@
     pub fn new(token: FencingToken, counter: u64) -> Attempt {
         Attempt((token.0 << ATTEMPT_BITS) | counter)
     }
+
+    /// Returns the fencing token of the term in which the attempt was created.
+    pub fn token(self) -> FencingToken {
+        FencingToken(self.0 >> ATTEMPT_BITS)
+    }
 }
 
 /// Id of one task of a job.
--- a/crates/scale-test/src/cli.rs
+++ b/crates/scale-test/src/cli.rs
@@ -62,6 +62,9 @@
     /// Name of the run, stored in its report.
     #[arg(long, default_value = "")]
     label: String,
+    /// Share of the direct commands that reach their worker a second time, instead of the scenario's.
+    #[arg(long)]
+    repeated_commands: Option<f64>,
     /// Give the judge one start that did not happen; the run must then fail.
     #[arg(long)]
     planted_fault: bool,
@@ -106,6 +109,7 @@
         scenario.faults = scenario::read_faults(path)?;
     }
     scenario.controllers = args.controllers.unwrap_or(scenario.controllers);
+    scenario.repeated_commands = args.repeated_commands.unwrap_or(scenario.repeated_commands);
     scenario.planted_fault |= args.planted_fault;
     let found = scenario.faults_found();
     if !found.is_empty() {
--- a/crates/scale-test/src/constants.rs
+++ b/crates/scale-test/src/constants.rs
@@ -31,6 +31,11 @@
 pub const REDIRECT_MOST: Duration = Duration::from_millis(500);
 /// Share by which the interval between heartbeats varies in both directions.
 pub const REPORT_JITTER: f64 = 0.25;
+/// Time after which an attempt that fails ends.
+pub const FAILS_AFTER: Duration = Duration::from_millis(300);
+/// Shortest and longest delay of a copy of direct commands that were executed and answered.
+pub const REPEATED_AFTER: std::ops::Range<Duration> =
+    Duration::from_millis(500)..Duration::from_millis(8000);
 /// Size in bytes of the head of a request or response as this project writes it, from one count on the wire.
 pub const HEAD_BYTES: u64 = 100;
 
--- a/crates/scale-test/src/judge.rs
+++ b/crates/scale-test/src/judge.rs
@@ -87,9 +87,8 @@
     events: HashMap<usize, JudgeEvent>,
     arrivals: u64,
     judged_us: u64,
-    /// Each fencing token that was the highest when a worker first saw it: the time at which that happened and the
-    /// time of the first start under the token, in microseconds.
-    pub fencing_tokens: Vec<(FencingToken, u64, Option<u64>)>,
+    /// Each leader's fencing token, with the time of the first start under it in microseconds.
+    pub terms: Vec<(FencingToken, u64)>,
     pub violations: Vec<Violation>,
     /// Number of events that arrived after a later event had been judged.
     pub late: u64,
@@ -114,7 +113,7 @@
             events: HashMap::new(),
             arrivals: 0,
             judged_us: 0,
-            fencing_tokens: Vec::new(),
+            terms: Vec::new(),
             violations: Vec::new(),
             late: 0,
             starts_us: Vec::new(),
@@ -190,11 +189,6 @@
                 Happening::Ended(task, attempt, completed) => {
                     self.on_ended(&event.machine, &task, attempt, completed);
                 }
-                Happening::FencingToken(token) => {
-                    if self.fencing_tokens.last().is_none_or(|(last, ..)| *last < token) {
-                        self.fencing_tokens.push((token, event.at_us, None));
-                    }
-                }
             },
             JudgeEvent::MachineEnded(machine, _) => {
                 let tasks = self.on_machine.remove(&machine).unwrap_or_default();
@@ -208,11 +202,8 @@
 
     fn on_ready(&mut self, at_us: u64, machine: MachineId, task: TaskId, attempt: Attempt) {
         self.starts_us.push(at_us);
-        if let Some((token, _, first)) = self.fencing_tokens.last_mut()
-            && first.is_none()
-            && attempt >= Attempt::new(*token, 0)
-        {
-            *first = Some(at_us);
+        if self.terms.last().is_none_or(|(last, _)| *last < attempt.token()) {
+            self.terms.push((attempt.token(), at_us));
         }
         if let Some((other, _)) = self.placed.get(&task)
             && *other != machine
--- a/crates/scale-test/src/link.rs
+++ b/crates/scale-test/src/link.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use troutspindle_protocol::ids::{Attempt, ControllerId, FencingToken, JobId, MachineId, TaskId};
+use troutspindle_protocol::ids::{Attempt, ControllerId, JobId, MachineId, TaskId};
 
 /// Maximum size of a frame in bytes; a larger length is an error of the sender.
 const FRAME_MAX: usize = 4 * 1024 * 1024;
@@ -30,6 +30,8 @@
     pub service: bool,
     /// Mean run time of the tasks in seconds.
     pub run_s: f64,
+    /// Share of the attempts that fail soon after their start.
+    pub failing: f64,
 }
 
 /// Settings that all workers of a process share.
@@ -51,6 +53,8 @@
     pub cache_gb: f64,
     /// Rate at which a machine fetches images.
     pub fetch_gb_per_s: f64,
+    /// Share of the direct commands of which a copy arrives again after they were executed and answered.
+    pub repeated_commands: f64,
     /// Base of the random seeds of the workers.
     pub seed: u64,
 }
@@ -81,15 +85,13 @@
     Delete(MachineId),
 }
 
-/// Event of a task, or change of a worker's fencing token.
+/// Event of a task.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Happening {
     /// The attempt has its image and runs on the machine from now on.
     Ready(TaskId, Attempt),
     /// The attempt does not run on the machine any more; true if it completed.
     Ended(TaskId, Attempt, bool),
-    /// The worker saw a higher fencing token.
-    FencingToken(FencingToken),
 }
 
 /// Event of a worker, with its machine and time.
@@ -112,6 +114,8 @@
     pub reports: u64,
     /// Bytes of the bodies of heartbeats.
     pub report_bytes: u64,
+    /// Bytes of the body of the largest heartbeat.
+    pub report_bytes_max: u64,
     /// Heartbeats that were answered, with any status.
     pub answers: u64,
     /// Bytes of the bodies of these answers.
@@ -128,6 +132,8 @@
     pub command_bytes: u64,
     /// Bytes of the bodies of the answers to these requests.
     pub command_answer_bytes: u64,
+    /// Copies of direct commands that reached a worker which still accepts their token and agent epoch.
+    pub repeated_commands: u64,
     /// Tasks started.
     pub starts: u64,
     /// Leases that expired at a worker.
@@ -137,7 +143,7 @@
 }
 
 impl WorkerCounters {
-    /// Combines two sets of counters field by field, for their sum or difference.
+    /// Combines two sets of counters field by field, for their sum or difference. Keeps the larger maximum.
     pub fn combine(
         &self,
         other: &WorkerCounters,
@@ -147,6 +153,7 @@
             workers: with(self.workers, other.workers),
             reports: with(self.reports, other.reports),
             report_bytes: with(self.report_bytes, other.report_bytes),
+            report_bytes_max: self.report_bytes_max.max(other.report_bytes_max),
             answers: with(self.answers, other.answers),
             answer_bytes: with(self.answer_bytes, other.answer_bytes),
             redirects: with(self.redirects, other.redirects),
@@ -155,6 +162,7 @@
             commands: with(self.commands, other.commands),
             command_bytes: with(self.command_bytes, other.command_bytes),
             command_answer_bytes: with(self.command_answer_bytes, other.command_answer_bytes),
+            repeated_commands: with(self.repeated_commands, other.repeated_commands),
             starts: with(self.starts, other.starts),
             leases_lost: with(self.leases_lost, other.leases_lost),
             dropped: with(self.dropped, other.dropped),
--- a/crates/scale-test/src/report.rs
+++ b/crates/scale-test/src/report.rs
@@ -76,6 +76,9 @@
     /// Rates of all workers together.
     pub worker_rates: Rates,
     pub worker_bytes_per_s: f64,
+    /// Size of the body of the largest heartbeat, in bytes.
+    #[serde(default)]
+    pub largest_heartbeat_bytes: u64,
     pub leases_lost: u64,
     pub state_rates: Rates,
     pub state_bytes_per_s: f64,
@@ -143,10 +146,11 @@
         let each = f64::from(self.workers).max(1.0);
         writeln!(
             out,
-            "  a worker         {:6.4} of a core, {:.2} MB, {:.0} bytes a second; leases lost {}",
+            "  a worker         {:6.4} of a core, {:.2} MB, {:.0} bytes a second, {} in the largest heartbeat; leases lost {}",
             self.workers_cpu / each,
             self.workers_memory_mb / each,
             self.worker_bytes_per_s / each,
+            self.largest_heartbeat_bytes,
             self.leases_lost
         )?;
         let line = |rates: &Rates| {
--- a/crates/scale-test/src/run.rs
+++ b/crates/scale-test/src/run.rs
@@ -207,6 +207,7 @@
         ram_gb: scenario.machine.ram_gb,
         cache_gb: scenario.machine.cache_gb,
         fetch_gb_per_s: scenario.machine.fetch_gb_per_s,
+        repeated_commands: scenario.repeated_commands,
         seed: scenario.seed,
     };
     let mut processes = Vec::new();
@@ -574,6 +575,7 @@
             memory_total_mb: self.memory_mb,
             worker_rates: worker_rates(&workers, seconds),
             worker_bytes_per_s: workers.bytes() as f64 / seconds,
+            largest_heartbeat_bytes: workers.report_bytes_max,
             leases_lost: workers.leases_lost,
             state_rates: by_kind(&last.state.requests, &first.state.requests),
             state_bytes_per_s: rate(
@@ -606,8 +608,8 @@
     /// Returns the milliseconds from the end of each killed leader to the first start of a task under its successor.
     fn recoveries(&self) -> Vec<u64> {
         let after = |ended: &u64| {
-            let next = self.judge.fencing_tokens.iter().find(|(_, seen, _)| seen > ended)?;
-            Some((next.2?.saturating_sub(*ended)) / 1000)
+            let (_, first_start) = self.judge.terms.iter().find(|(_, first)| first > ended)?;
+            Some((first_start - ended) / 1000)
         };
         self.leader_killed_us.iter().filter_map(after).collect()
     }
@@ -625,6 +627,7 @@
         ("commands", counters.commands),
         ("command bytes", counters.command_bytes),
         ("command answer bytes", counters.command_answer_bytes),
+        ("repeated commands", counters.repeated_commands),
         ("starts", counters.starts),
         ("dropped", counters.dropped),
     ];
--- a/crates/scale-test/src/scenario.rs
+++ b/crates/scale-test/src/scenario.rs
@@ -45,6 +45,9 @@
     pub classes: Vec<Class>,
     #[serde(default)]
     pub faults: Vec<Fault>,
+    /// Share of the direct commands of which a copy reaches the worker again after they were executed and answered.
+    #[serde(default)]
+    pub repeated_commands: f64,
     /// Whether the judge is given one start on two machines, as a check of the judge itself.
     #[serde(default)]
     pub planted_fault: bool,
@@ -143,6 +146,9 @@
     /// Share of jobs that their users cancel while they are running.
     #[serde(default)]
     pub cancelled: f64,
+    /// Share of the attempts that fail soon after their start.
+    #[serde(default)]
+    pub failing: f64,
     /// Number of images that the jobs of the class share.
     pub images: u32,
     /// Size of each image, in gigabytes.
@@ -218,12 +224,15 @@
             "lease_s: over 2 report_s",
         );
         check(self.cancel_s > self.lease_s, "cancel_s: more than lease_s");
+        let share = 0.0..=1.0;
+        check(share.contains(&self.repeated_commands), "repeated_commands: from 0 to 1");
         check(self.teams.count > 0, "teams.count: at least 1");
         check(!self.classes.is_empty(), "classes: at least one");
         for class in &self.classes {
             let name = &class.name;
             check((1..=10_000).contains(&class.tasks), &format!("class {name}: tasks: 1 to 10000"));
             check(class.cpus <= self.machine.cpus, &format!("class {name}: cpus: fits a machine"));
+            check(share.contains(&class.failing), &format!("class {name}: failing: from 0 to 1"));
             check(class.images > 0, &format!("class {name}: images: at least 1"));
             let has_run_time = class.kind == Kind::Service || class.run_s > 0.0;
             check(has_run_time, &format!("class {name}: run_s: more than 0"));
--- a/crates/scale-test/src/users.rs
+++ b/crates/scale-test/src/users.rs
@@ -272,6 +272,7 @@
             image_gb: self.spec.image_gb,
             service: class.kind == Kind::Service,
             run_s: class.run_s,
+            failing: class.failing,
         }
     }
 
--- a/crates/scale-test/src/worker.rs
+++ b/crates/scale-test/src/worker.rs
@@ -7,7 +7,7 @@
 use crate::link::{Happening, JobFacts, MachineFacts, WorkerSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
 use troutspindle_protocol::ids::{Attempt, FencingToken, JobId, TaskId};
@@ -27,6 +27,8 @@
     ends_at: Option<Instant>,
     /// Run time of the attempt; None for services.
     run: Option<Duration>,
+    /// The attempt fails at the end of its run time.
+    fails: bool,
 }
 
 impl Task {
@@ -42,6 +44,7 @@
             image,
             ends_at: None,
             run: None,
+            fails: false,
         }
     }
 
@@ -86,6 +89,8 @@
     last_heartbeat: Option<Instant>,
     in_flight: bool,
     tasks: BTreeMap<TaskId, Task>,
+    /// Tasks that completed here. Their results are kept, so that a repeated start ends at once.
+    completed: HashSet<TaskId>,
     images: HashMap<String, Image>,
     /// Number of image uses so far.
     uses: u64,
@@ -115,6 +120,7 @@
             last_heartbeat: None,
             in_flight: false,
             tasks: BTreeMap::new(),
+            completed: HashSet::new(),
             images: HashMap::new(),
             uses: 0,
             starts: 0,
@@ -157,9 +163,14 @@
                 self.events.push(Happening::Ready(id.clone(), task.attempt));
             }
             if task.state == TaskState::Running && task.ends_at.is_some_and(|at| at <= now) {
-                (task.state, task.exit_cause) = (TaskState::Exited, Some("done"));
+                let exit_cause = if task.fails { "error" } else { "done" };
+                (task.state, task.exit_cause) = (TaskState::Exited, Some(exit_cause));
                 self.changed = true;
-                self.events.push(Happening::Ended(id.clone(), task.attempt, true));
+                if !task.fails && self.completed.insert(id.clone()) {
+                    self.events.push(Happening::Ended(id.clone(), task.attempt, true));
+                } else {
+                    self.events.push(Happening::Ended(id.clone(), task.attempt, false));
+                }
             }
         }
     }
@@ -286,13 +297,12 @@
         true
     }
 
-    /// Adopts a higher fencing token and reports it to the judge.
+    /// Adopts a higher fencing token.
     fn observe_token(&mut self, token: FencingToken, now: Instant) {
         if token <= self.token {
             return;
         }
         self.token = token;
-        self.events.push(Happening::FencingToken(token));
         let half_lease = self.lease() / 2;
         if self.token_reported_at.is_none_or(|at| now > at + half_lease) {
             self.token_reported_at = Some(now);
@@ -337,7 +347,15 @@
         self.starts += 1;
         self.fetch(&job.image, job.image_gb, now);
         let run_factor = self.random.random_range(0.5..1.5);
-        let run = (!job.service).then(|| Duration::from_secs_f64(job.run_s * run_factor));
+        let is_completed = self.completed.contains(id);
+        let fails = !is_completed && job.failing > 0.0 && self.random.random_bool(job.failing);
+        let run = if fails {
+            Some(FAILS_AFTER)
+        } else if is_completed {
+            Some(Duration::ZERO)
+        } else {
+            (!job.service).then(|| Duration::from_secs_f64(job.run_s * run_factor))
+        };
         let task = Task {
             attempt,
             state: TaskState::Fetching,
@@ -347,6 +365,7 @@
             image: job.image.clone(),
             ends_at: None,
             run,
+            fails,
         };
         self.tasks.insert(id.clone(), task);
     }
--- a/crates/scale-test/src/worker_process.rs
+++ b/crates/scale-test/src/worker_process.rs
@@ -6,6 +6,8 @@
     read_frame, write_frame,
 };
 use crate::worker::{HeartbeatOutcome, JobCatalog, Worker};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
@@ -34,6 +36,8 @@
     Answer(usize, (Instant, u64), HeartbeatResult),
     /// A request to the worker with this index.
     Command(usize, Incoming),
+    /// A copy of direct commands that the worker with this index executed and answered.
+    RepeatedCommand(usize, CommandBatch),
 }
 
 /// A worker with its listener and its connection to a controller.
@@ -51,6 +55,7 @@
 /// The actor that owns all workers of the process.
 struct Host {
     settings: WorkerSettings,
+    random: StdRng,
     catalog: JobCatalog,
     workers: Vec<HostedWorker>,
     by_id: HashMap<MachineId, usize>,
@@ -85,6 +90,7 @@
         }
     });
     let mut host = Host {
+        random: StdRng::seed_from_u64(settings.seed),
         settings,
         catalog: JobCatalog::new(),
         workers: Vec::new(),
@@ -129,6 +135,7 @@
             Event::Run(ToWorkers::Delete(id)) => self.delete(&id),
             Event::Answer(index, sent, result) => self.on_answer(index, sent, result, now),
             Event::Command(index, incoming) => self.on_command(index, incoming, now),
+            Event::RepeatedCommand(index, batch) => self.on_repeated_command(index, &batch, now),
         }
     }
 
@@ -223,6 +230,7 @@
         let body = wire::encode(heartbeat);
         self.counters.reports += 1;
         self.counters.report_bytes += body.len() as u64;
+        self.counters.report_bytes_max = self.counters.report_bytes_max.max(body.len() as u64);
         let request = Request { method: Method::Post, target: "/hello".into(), body };
         let (to, agent_epoch) = (self.to.clone(), heartbeat.agent_epoch);
         tokio::spawn(async move {
@@ -322,12 +330,18 @@
             (Method::Get, "/status") => 200,
             (Method::Post, "/do") => match wire::decode::<CommandBatch>(&request.body) {
                 Ok(batch) if batch.agent_epoch.is_some() => {
-                    if hosted.worker.on_command(&batch, &self.catalog, now) { 200 } else { 409 }
+                    if hosted.worker.on_command(&batch, &self.catalog, now) {
+                        self.repeat_later(index, batch);
+                        200
+                    } else {
+                        409
+                    }
                 }
                 _ => 400,
             },
             _ => 404,
         };
+        let hosted = &mut self.workers[index];
         let response = match status {
             200 | 409 => Response::with(status, wire::encode(&hosted.worker.heartbeat())),
             _ => Response::empty(status),
@@ -338,6 +352,32 @@
         self.schedule_wake(index, now);
     }
 
+    /// Lets a copy of executed commands arrive later, with the probability in the settings.
+    fn repeat_later(&mut self, index: usize, batch: CommandBatch) {
+        let share = self.settings.repeated_commands;
+        if share == 0.0 || !self.random.random_bool(share) {
+            return;
+        }
+        let delay = self.random.random_range(REPEATED_AFTER);
+        let to = self.to.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = to.send(Event::RepeatedCommand(index, batch));
+        });
+    }
+
+    fn on_repeated_command(&mut self, index: usize, batch: &CommandBatch, now: Instant) {
+        let hosted = &mut self.workers[index];
+        if hosted.deleted {
+            return;
+        }
+        hosted.worker.advance(now);
+        let is_executed = hosted.worker.on_command(batch, &self.catalog, now);
+        self.counters.repeated_commands += u64::from(is_executed);
+        self.collect(index);
+        self.schedule_wake(index, now);
+    }
+
     /// Collects the worker's counters and its events for the judge.
     fn collect(&mut self, index: usize) {
         let worker = &mut self.workers[index].worker;
--- a/crates/scale-test/src/worker_tests.rs
+++ b/crates/scale-test/src/worker_tests.rs
@@ -12,6 +12,7 @@
         ram_gb: 8.0,
         cache_gb: 2.0,
         fetch_gb_per_s: 0.5,
+        repeated_commands: 0.0,
         seed: 1,
     };
     let facts = MachineFacts {
@@ -33,6 +34,7 @@
         image_gb: 1.0,
         service,
         run_s: 10.0,
+        failing: 0.0,
     };
     [job("wk-1", false), job("wk-2", true)].into_iter().map(|job| (job.id.clone(), job)).collect()
 }
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -42,6 +42,8 @@
     InvalidRequest,
     /// Delayed direct commands reach a worker after their sender has timed out.
     DelayedCommands(MachineId, CommandBatch),
+    /// A copy of direct commands that were executed and answered reaches the worker.
+    RepeatedCommands(MachineId, CommandBatch),
     Restart(usize),
     LeaseCheck,
     /// The controller handles the first event in its queue.
@@ -120,6 +122,8 @@
     WorkersCannotConnect(usize, bool),
     /// In a third of the direct calls, the command or its response is delayed by seconds.
     DelayedCommands(bool),
+    /// Of half of the direct calls that were executed and answered, a copy arrives 0.5 s to 90 s later.
+    RepeatedCommands(bool),
     /// After each status change users poll all controllers within milliseconds, repeat the submission, and some cancel.
     RapidRequests(bool),
     /// Users cancel this many running jobs within 200 ms.
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -101,6 +101,7 @@
             | Fault::ReplayHeartbeatsToNextLeader(_)
             | Fault::WorkersCannotConnect(..)
             | Fault::DelayedCommands(_)
+            | Fault::RepeatedCommands(_)
             | Fault::RapidRequests(_)
             | Fault::CancelNow(_)
             | Fault::CancelAtCompletion(_)
--- a/crates/simulation/src/model.rs
+++ b/crates/simulation/src/model.rs
@@ -62,6 +62,8 @@
     pub completion_confirmed: bool,
     /// Whether every task of the job fails on every machine.
     pub always_fails: bool,
+    /// Whether the first attempt of every task of the job fails.
+    pub first_attempts_fail: bool,
     /// Number of tasks on machines when the cancellation was confirmed.
     pub tasks_when_confirmed: usize,
     /// Send time and kind of the pending regular request: 0 submit, 1 poll, 2 cancel.
--- a/crates/simulation/src/targeted_faults.rs
+++ b/crates/simulation/src/targeted_faults.rs
@@ -9,6 +9,13 @@
 use troutspindle::ids::{MachineId, TaskId};
 use troutspindle::wire::CommandBatch;
 
+/// Shortest delay in milliseconds of a copy of direct commands.
+const REPEATED_EARLIEST_MS: u64 = 500;
+/// Longest delay in milliseconds of half of the copies of direct commands.
+const REPEATED_SOON_MS: u64 = 6000;
+/// Longest delay in milliseconds of the other copies of direct commands.
+const REPEATED_LATE_MS: u64 = 90_000;
+
 /// Active targeted faults, and the number of effects of each.
 #[derive(Default)]
 pub struct TargetedFaults {
@@ -20,6 +27,7 @@
     /// Zone whose workers cannot connect to any controller.
     pub unconnectable_zone: Option<usize>,
     pub delayed_commands: bool,
+    pub repeated_commands: bool,
     pub rapid_requests: bool,
     pub cancel_at_completion: bool,
     pub invalid_requests: bool,
@@ -64,6 +72,7 @@
                 self.targeted_faults.unconnectable_zone = on.then_some(zone)
             }
             Fault::DelayedCommands(on) => self.targeted_faults.delayed_commands = on,
+            Fault::RepeatedCommands(on) => self.targeted_faults.repeated_commands = on,
             Fault::RapidRequests(on) => self.targeted_faults.rapid_requests = on,
             Fault::CancelNow(count) => self.cancel_now(count),
             Fault::CancelAtCompletion(on) => self.targeted_faults.cancel_at_completion = on,
@@ -158,13 +167,47 @@
 
     /// Delivers direct commands after their sender has timed out.
     pub fn execute_delayed_commands(&mut self, id: &MachineId, batch: CommandBatch) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let valid = batch.token >= worker.token && batch.agent_epoch == Some(worker.agent_epoch);
-        if valid && !worker.terminated {
-            worker.token = batch.token;
-            worker.changed = true;
+        if self.execute_unanswered(id, batch) {
             self.targeted_faults.record_effect("delayed commands");
-            self.execute(id, batch.commands);
         }
     }
+
+    /// Schedules the arrival of a copy of direct commands that were executed and answered, if the fault is active.
+    pub fn repeat_commands(&mut self, id: &MachineId, batch: &CommandBatch) {
+        if !self.targeted_faults.repeated_commands || self.random.random() {
+            return;
+        }
+        let latest_ms = if self.random.random() { REPEATED_SOON_MS } else { REPEATED_LATE_MS };
+        let delay_ms = self.random.random_range(REPEATED_EARLIEST_MS..latest_ms);
+        let event = SimEvent::RepeatedCommands(id.clone(), batch.clone());
+        self.schedule(self.now_ms + delay_ms, event);
+    }
+
+    /// Delivers a copy of direct commands that were executed and answered.
+    pub fn execute_repeated_commands(&mut self, id: &MachineId, batch: CommandBatch) {
+        let zone = self.workers.get(id).map(|worker| worker.zone);
+        if zone.is_some() && self.hung_zone == zone {
+            let event = SimEvent::RepeatedCommands(id.clone(), batch);
+            return self.blocked_messages.push(event);
+        }
+        let effect = if self.execute_unanswered(id, batch) {
+            "repeated commands"
+        } else {
+            "rejected repeated commands"
+        };
+        self.targeted_faults.record_effect(effect);
+    }
+
+    /// Lets a worker execute direct commands whose response nobody awaits. Returns false if it rejects them.
+    fn execute_unanswered(&mut self, id: &MachineId, batch: CommandBatch) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else { return false };
+        let valid = batch.token >= worker.token && batch.agent_epoch == Some(worker.agent_epoch);
+        if !valid || worker.terminated {
+            return false;
+        }
+        worker.token = batch.token;
+        worker.changed = true;
+        self.execute(id, batch.commands);
+        true
+    }
 }
--- a/crates/simulation/src/users.rs
+++ b/crates/simulation/src/users.rs
@@ -47,6 +47,7 @@
             cancellations_postponed: 0,
             completion_confirmed: false,
             always_fails: false,
+            first_attempts_fail: false,
             pending_request: None,
             received: Vec::new(),
             sent_event: 0,
--- a/crates/simulation/src/workers.rs
+++ b/crates/simulation/src/workers.rs
@@ -209,6 +209,9 @@
         if let (Some(batch), true) = (&sent, valid) {
             worker.token = batch.token;
             self.execute(&id, batch.commands.clone());
+            if !is_delayed {
+                self.repeat_commands(&id, batch);
+            }
         }
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.seq += 1;
@@ -241,6 +244,7 @@
                         running.state = TaskState::Exited;
                         running.exit_cause = Some("halted".into());
                         worker.changed = true;
+                        self.targeted_faults.record_effect("stopped tasks");
                     }
                 }
                 WorkerCommand::Forget { task, attempt } => {
@@ -263,7 +267,8 @@
         let Some(job) = self.jobs.get(&number) else {
             return self.record_violation(format!("{task} belongs to no job"));
         };
-        let (spec, always_fails) = (job.spec.clone(), job.always_fails);
+        let fails = job.always_fails || job.first_attempts_fail && !self.failed.contains(&task);
+        let spec = job.spec.clone();
         let is_past_deadline =
             job.cancellation_confirmed_ms.is_some_and(|at| self.now_ms > at + CANCEL_MS);
         let now_ms = self.now_ms;
@@ -297,7 +302,9 @@
                 ends_at,
             },
         );
-        if always_fails {
+        if fails {
+            self.failed.insert(task.clone());
+            self.targeted_faults.record_effect("failed tasks");
             let running = worker.tasks.get_mut(&task).unwrap();
             (running.state, running.exit_cause) = (TaskState::Exited, Some("error".into()));
         }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 use troutspindle::clock::WallClock;
@@ -54,6 +54,8 @@
     pub jobs: BTreeMap<u64, UserJob>,
     /// Completed tasks.
     pub finished: HashMap<TaskId, bool>,
+    /// Tasks of which an attempt has failed.
+    pub failed: BTreeSet<TaskId>,
     pub partitioned_controllers: Vec<bool>,
     pub zones_partitioned: bool,
     /// Whether zone b is isolated.
@@ -158,6 +160,7 @@
             next_machine: 0,
             jobs: BTreeMap::new(),
             finished: HashMap::new(),
+            failed: BTreeSet::new(),
             partitioned_controllers: vec![false; count],
             zones_partitioned: false,
             isolated_zone: false,
@@ -395,6 +398,9 @@
             SimEvent::DelayedCommands(machine, batch) => {
                 self.execute_delayed_commands(&machine, batch)
             }
+            SimEvent::RepeatedCommands(machine, batch) => {
+                self.execute_repeated_commands(&machine, batch)
+            }
             SimEvent::Restart(controller) => {
                 self.down[controller] = false;
                 let seed = self.random.random();
