--- a/benches/planning.rs
+++ b/benches/planning.rs
@@ -15,7 +15,7 @@
 use troutspindle::wire::{
     Heartbeat, JobKind, JobSpec, MachineType, Priority, TaskState, TaskStatus, WorkerCommand,
 };
-use troutspindle::workers::machine::MachineState;
+use troutspindle::workers::machine::{LeaderTokens, MachineState};
 
 /// Number of machines in the fleet.
 const MACHINES: u64 = 1400;
@@ -116,8 +116,9 @@
 
     /// Takes the commands with which the leader answers a worker's heartbeat.
     fn commands(&mut self, n: u64) -> Vec<WorkerCommand> {
+        let tokens = LeaderTokens { leader: self.scheduler.token(), may_raise: true };
         let machine = self.scheduler.fleet.machines.get_mut(&machine_id(n));
-        machine.map(|machine| machine.commands_for_answer()).unwrap_or_default()
+        machine.map(|machine| machine.answer(tokens).commands).unwrap_or_default()
     }
 
     /// Submits a job; `adapt` modifies the default specification, which is a small array.
--- a/crates/protocol/src/constants.rs
+++ b/crates/protocol/src/constants.rs
@@ -33,5 +33,9 @@
 pub const RETRY_AFTER_S: u64 = 1;
 /// Number of low bits of an attempt number that count attempts within one term; the high bits are the fencing token.
 pub const ATTEMPT_BITS: u32 = 24;
+/// Number of fencing tokens that are reserved for the commands of one leader.
+pub const TOKENS_PER_TERM: u64 = 1 << 21;
+/// Distance from a leader's fencing token to the first higher one that its commands may carry.
+pub const FIRST_RAISED_TOKEN: u64 = TOKENS_PER_TERM / 2;
 /// Micro-units in one unit of an amount; resources are counted in whole millionths.
 pub const MICRO: f64 = 1e6;
--- a/crates/protocol/src/ids.rs
+++ b/crates/protocol/src/ids.rs
@@ -1,6 +1,6 @@
 //! Identifiers, revisions, and exact resource amounts.
 
-use crate::constants::{ATTEMPT_BITS, MICRO};
+use crate::constants::{ATTEMPT_BITS, FIRST_RAISED_TOKEN, MICRO, TOKENS_PER_TERM};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -55,6 +55,39 @@
 number_type!(/// Id of a lease in the store.
     LeaseId);
 
+impl FencingToken {
+    /// Returns the token of the leader that is elected after one with this token. Tokens in between are reserved: see
+    /// [`FencingToken::raised`]. The token of the first leader of a cluster is [`TOKENS_PER_TERM`].
+    pub fn of_next_leader(self) -> FencingToken {
+        FencingToken((self.0.div_ceil(TOKENS_PER_TERM) + 1) * TOKENS_PER_TERM)
+    }
+
+    /// Returns whether the leader with this token may be preceded by another one.
+    pub fn has_predecessor(self) -> bool {
+        self.0 > TOKENS_PER_TERM
+    }
+
+    /// Returns whether commands of the leader with the token `leader` may carry this token. The tokens just above a
+    /// leader's belong to other leaders, because the previous version increments the last token by one.
+    pub fn is_of_leader(self, leader: FencingToken) -> bool {
+        let offset = self.0.checked_sub(leader.0);
+        offset.is_some_and(|n| n == 0 || (FIRST_RAISED_TOKEN..TOKENS_PER_TERM).contains(&n))
+    }
+
+    /// Returns the next higher token of the same leader; `None` if there is none left.
+    pub fn raised(self, leader: FencingToken) -> Option<FencingToken> {
+        let first_raised = FencingToken(leader.0 + FIRST_RAISED_TOKEN);
+        let next = FencingToken(self.0 + 1).max(first_raised);
+        next.is_of_leader(leader).then_some(next)
+    }
+
+    /// Returns the token of the leader with the token `leader` for an answer to a heartbeat that shows `reported`: the
+    /// lowest one that the worker accepts, or `leader` if the worker has seen another leader's token.
+    pub fn for_answer(leader: FencingToken, reported: FencingToken) -> FencingToken {
+        if reported.is_of_leader(leader) { reported } else { leader }
+    }
+}
+
 impl Attempt {
     /// Creates the attempt number with this counter in this term. Each term has its own range of numbers, so no two
     /// leaders use the same one.
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -33,5 +33,7 @@
 pub const DELEGATED_LEASE_TTL: Duration = Duration::from_secs(45);
 /// First stored format whose controllers hold a controller lease in the store and acknowledge cancellations.
 pub const FORMAT_CONTROLLER_LEASES: u32 = 2;
+/// First stored format whose controllers answer a worker with the raised fencing token that it reports.
+pub const FORMAT_RAISED_TOKENS: u32 = 3;
 /// Maximum size in bytes of a batch of relayed heartbeats or commands, estimated before encoding, to fit a frame.
 pub const MAX_RELAY_BATCH_BYTES: usize = 48 * 1024;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -217,7 +217,8 @@
     fn on_worker_response(&mut self, call: CompletedCall, now: Instant) {
         let CompletedCall { machine, commands, result } = call;
         let Some(scheduler) = &mut self.scheduler else { return };
-        if commands.as_ref().is_some_and(|commands| commands.token != scheduler.token()) {
+        let leader = scheduler.token();
+        if commands.as_ref().is_some_and(|commands| !commands.token.is_of_leader(leader)) {
             return;
         }
         if !scheduler.on_worker_response(
--- a/src/controller/delegated_answers.rs
+++ b/src/controller/delegated_answers.rs
@@ -6,6 +6,7 @@
 use crate::ids::{FencingToken, MachineId};
 use crate::leadership::cancellation_acks::CANCELLATION_MARGIN;
 use crate::wire::{self, CommandBatch, Heartbeat, TaskState, TaskStatus, WorkerCommand};
+use crate::workers::command_log::{CommandRoute, log_commands};
 use crate::workers::machine::MAX_COMMANDS_PER_ANSWER;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -49,7 +50,8 @@
         if !self.knows_cancellations_of(heartbeat, now) {
             return None;
         }
-        let token = self.delegated_token(&heartbeat.machine, now)?;
+        let leader_token = self.delegated_token(&heartbeat.machine, now)?;
+        let token = FencingToken::for_answer(leader_token, heartbeat.token);
         let stop = |task: &TaskStatus| WorkerCommand::Stop {
             task: task.task.clone(),
             attempt: task.attempt,
@@ -66,7 +68,9 @@
             .map(stop)
             .collect();
         tracing::debug!(machine = %heartbeat.machine, fencing_token = %token, "answered on behalf of the leader");
-        Some(CommandBatch { token, agent_epoch: None, commands: stops })
+        let batch = CommandBatch { token, agent_epoch: None, commands: stops };
+        log_commands(&heartbeat.machine, heartbeat.agent_epoch, &batch, CommandRoute::Delegated);
+        Some(batch)
     }
 
     fn knows_cancellations_of(&self, heartbeat: &Heartbeat, now: Instant) -> bool {
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -124,7 +124,7 @@
         tracing::info!(fencing_token = %token, machines, "leadership started");
         self.cloud.begin_leadership(token, now);
         self.scheduler = Some(scheduler);
-        self.sharding.begin_leadership();
+        self.sharding.begin_leadership(token);
         // Peers delay heartbeats until they receive the new leader's announcement.
         self.announce_shards(now);
     }
--- a/src/controller/relayed_commands.rs
+++ b/src/controller/relayed_commands.rs
@@ -1,10 +1,11 @@
 //! Direct calls to workers that peers make on behalf of the leader.
 
 use super::{Controller, Effect};
-use crate::ids::{ControllerId, FencingToken};
+use crate::ids::{ControllerId, FencingToken, MachineId};
 use crate::peers::mesh::PeerMessage;
 use crate::scheduler::direct_calls::OutgoingCall;
-use crate::workers::command_delivery::{CommandResultFrame, Delivery, DeliveryResult};
+use crate::workers::command_delivery::{CommandResultFrame, Delivery, DeliveryResult, DirectCall};
+use crate::workers::command_log::{CommandRoute, log_commands};
 use tokio::time::Instant;
 
 /// Maximum number of concurrent calls that peers make for a leader.
@@ -22,6 +23,9 @@
             let below_limit = self.sharding.deliveries.in_flight() < RELAYED_CALLS_IN_FLIGHT_MAX;
             let relay =
                 relay.filter(|name| below_limit && self.can_take_heartbeats(name, now)).cloned();
+            let route =
+                if relay.is_some() { CommandRoute::Forwarded } else { CommandRoute::Direct };
+            log_call(&machine, &call, route);
             match relay {
                 Some(peer) => {
                     self.sharding.deliveries.push(&peer, machine, address, call, now);
@@ -55,6 +59,7 @@
             let machine = delivery.machine.clone();
             let address = delivery.address;
             let call = delivery.into_direct_call(token);
+            log_call(&machine, &call, CommandRoute::Forwarded);
             self.effects.push(Effect::CallWorker { machine, address, call });
         }
     }
@@ -86,3 +91,9 @@
         }
     }
 }
+
+fn log_call(machine: &MachineId, call: &DirectCall, route: CommandRoute) {
+    if let DirectCall::Do(batch) = call {
+        log_commands(machine, batch.agent_epoch.unwrap_or_default(), batch, route);
+    }
+}
--- a/src/controller/sharding.rs
+++ b/src/controller/sharding.rs
@@ -66,9 +66,9 @@
     }
 
     /// Drops all forwarded and pending calls at the start of this controller's leadership.
-    pub(super) fn begin_leadership(&mut self) {
+    pub(super) fn begin_leadership(&mut self, token: FencingToken) {
         self.forwarded.clear();
-        self.deliveries.clear();
+        self.deliveries.begin_term(token);
     }
 
     /// Returns whether peers take heartbeats for this leader.
--- a/src/leadership/election.rs
+++ b/src/leadership/election.rs
@@ -325,7 +325,7 @@
             return ElectionStep::request(StoreRequest::RevokeLease(*lease));
         }
         let Versioned { value: last_token, revision: token_revision } = cache.token;
-        let token = FencingToken(last_token.0 + 1);
+        let token = last_token.of_next_leader();
         self.role = Role::Candidate { lease: *lease, requested_at, token };
         ElectionStep::request(StoreRequest::Commit(self.candidacy_transaction(
             token,
--- a/src/leadership/election/tests.rs
+++ b/src/leadership/election/tests.rs
@@ -24,8 +24,9 @@
     let commit = become_candidate(&mut election, &cache, now);
     let response = StoreResponse::Committed(Revision(3));
     let step = election.on_response(&commit, now, &response, &cache, now);
-    assert_eq!(step.event, Some(ElectionEvent::Won(FencingToken(1))));
-    set_leader(&mut cache, FencingToken(1));
+    let token = FencingToken(0).of_next_leader();
+    assert_eq!(step.event, Some(ElectionEvent::Won(token)));
+    set_leader(&mut cache, token);
     (election, cache, now)
 }
 
--- a/src/peers/heartbeat_relay.rs
+++ b/src/peers/heartbeat_relay.rs
@@ -14,7 +14,7 @@
 use crate::constants::MAX_RELAY_BATCH_BYTES;
 use crate::ids::{ControllerId, FencingToken, MachineId};
 use crate::peers::membership::Membership;
-use crate::wire::{CommandBatch, Heartbeat, TaskState, TaskStatus, WorkerCommand};
+use crate::wire::{CommandBatch, Heartbeat, TaskState, TaskStatus};
 use foldhash::{HashMap, HashMapExt};
 use messages::{HEARTBEAT_BYTES, encoded_size};
 use std::collections::BTreeMap;
@@ -318,10 +318,9 @@
                 HeartbeatResult::ResendInFull => self.resend_in_full(ticket, now),
                 HeartbeatResult::Accepted(commands) => {
                     let Some(pending) = self.pending.remove(&ticket) else { continue };
+                    let default_token = FencingToken::for_answer(token, pending.heartbeat.token);
                     self.record_accepted(pending.heartbeat, commands.is_empty());
-                    let worker_commands = commands.into_iter().map(WorkerCommand::from).collect();
-                    let commands =
-                        CommandBatch { token, agent_epoch: None, commands: worker_commands };
+                    let commands = RelayedCommand::into_batch(commands, default_token, None);
                     replies.push(WorkerReply { ticket, commands });
                 }
             }
--- a/src/peers/heartbeat_relay/messages.rs
+++ b/src/peers/heartbeat_relay/messages.rs
@@ -3,7 +3,7 @@
 //! They are encoded with postcard: the order of variants and fields is part of the encoding, their names are not.
 
 use crate::ids::{Attempt, FencingToken, MachineId, TaskId};
-use crate::wire::{Heartbeat, TaskState, TaskStatus, WorkerCommand};
+use crate::wire::{CommandBatch, Heartbeat, TaskState, TaskStatus, WorkerCommand};
 use serde::{Deserialize, Serialize};
 
 /// Maximum encoded size of a heartbeat without its tasks, in bytes.
@@ -126,6 +126,40 @@
     Stop(TaskId, Attempt, f64),
     /// Removes the record of a finished attempt.
     Forget(TaskId, Attempt),
+    /// Sets the fencing token of the commands, in place of the one that follows from the frame. Sent only if all
+    /// controllers know it.
+    UseToken(FencingToken),
+}
+
+impl RelayedCommand {
+    /// Returns the commands of a batch as they are sent to a controller that would by itself use `default_token`.
+    pub fn from_batch(batch: CommandBatch, default_token: FencingToken) -> Vec<RelayedCommand> {
+        let token = (batch.token != default_token).then_some(RelayedCommand::UseToken(batch.token));
+        token.into_iter().chain(batch.commands.into_iter().map(RelayedCommand::from)).collect()
+    }
+
+    /// Returns the batch for the worker.
+    pub fn into_batch(
+        commands: Vec<RelayedCommand>,
+        default_token: FencingToken,
+        agent_epoch: Option<u64>,
+    ) -> CommandBatch {
+        let mut batch = CommandBatch { token: default_token, agent_epoch, commands: Vec::new() };
+        for command in commands {
+            batch.commands.push(match command {
+                RelayedCommand::Start(task, attempt) => WorkerCommand::Start { task, attempt },
+                RelayedCommand::Stop(task, attempt, grace_s) => {
+                    WorkerCommand::Stop { task, attempt, grace_s }
+                }
+                RelayedCommand::Forget(task, attempt) => WorkerCommand::Forget { task, attempt },
+                RelayedCommand::UseToken(token) => {
+                    batch.token = token;
+                    continue;
+                }
+            });
+        }
+        batch
+    }
 }
 
 impl From<WorkerCommand> for RelayedCommand {
@@ -140,18 +174,6 @@
     }
 }
 
-impl From<RelayedCommand> for WorkerCommand {
-    fn from(command: RelayedCommand) -> WorkerCommand {
-        match command {
-            RelayedCommand::Start(task, attempt) => WorkerCommand::Start { task, attempt },
-            RelayedCommand::Stop(task, attempt, grace_s) => {
-                WorkerCommand::Stop { task, attempt, grace_s }
-            }
-            RelayedCommand::Forget(task, attempt) => WorkerCommand::Forget { task, attempt },
-        }
-    }
-}
-
 /// The leader's result for a heartbeat in a batch. A heartbeat without a result is accepted without commands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum HeartbeatResult {
--- a/src/peers/heartbeat_relay/tests.rs
+++ b/src/peers/heartbeat_relay/tests.rs
@@ -6,7 +6,7 @@
 use crate::constants::BODY_MAX;
 use crate::ids::{Attempt, ControllerId, FencingToken, MachineId, TaskId};
 use crate::peers::membership::{Member, Membership};
-use crate::wire::{CommandBatch, Heartbeat, TaskState, TaskStatus};
+use crate::wire::{Heartbeat, TaskState, TaskStatus};
 use crate::workers::machine::{HeartbeatEffect, Machine};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -91,8 +91,7 @@
     let command = RelayedCommand::Start(TaskId::parse("wk-1/0").unwrap(), Attempt(9));
     let results = vec![(0, HeartbeatResult::Accepted(vec![command.clone()]))];
     let replies = relay.on_results(FencingToken(3), batch.number, results, now);
-    let expected =
-        CommandBatch { token: FencingToken(3), agent_epoch: None, commands: vec![command.into()] };
+    let expected = RelayedCommand::into_batch(vec![command], FencingToken(3), None);
     assert_eq!(replies.len(), 1);
     assert_eq!((replies[0].ticket, replies[0].commands.commands.clone()), (1, expected.commands));
     relay.accept(2, heartbeat("i-1", 2, &[]), now).unwrap();
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -247,6 +247,7 @@
             self.planning_clock.next_check = now + CHECK_INTERVAL;
             self.run_periodic_checks(store, cloud, now);
         }
+        self.term.set_format(store.layout().format);
         self.enqueue_due_writes(store, now);
         if self.planning_clock.start_pass_if_due(now) {
             self.plan_if_useful(&store.cache, cloud, now);
@@ -283,7 +284,7 @@
 
     fn send_direct_calls(&mut self, now: Instant) {
         let rules = CallRules {
-            token: self.term.token,
+            tokens: self.term.tokens(),
             heartbeat_late_after: self.heartbeat_late_after(),
             heartbeat_interval: self.settings.heartbeat_interval(),
         };
--- a/src/scheduler/direct_calls.rs
+++ b/src/scheduler/direct_calls.rs
@@ -4,12 +4,12 @@
 //! last one, or all of them after larger changes.
 
 use super::fleet::Fleet;
-use crate::ids::{FencingToken, MachineId};
+use crate::ids::MachineId;
 use crate::settings::Settings;
 use crate::store::TokenBucket;
-use crate::wire::{CommandBatch, WorkerCommand};
+use crate::wire::CommandBatch;
 use crate::workers::command_delivery::DirectCall;
-use crate::workers::machine::{Machine, MachineState};
+use crate::workers::machine::{LeaderTokens, Machine, MachineState};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,7 +38,7 @@
 
 /// Parameters by which the leader decides which workers to call.
 pub(super) struct CallRules {
-    pub(super) token: FencingToken,
+    pub(super) tokens: LeaderTokens,
     /// Time since a worker's last heartbeat after which its status is requested.
     pub(super) heartbeat_late_after: Duration,
     pub(super) heartbeat_interval: Duration,
@@ -146,7 +146,7 @@
             self.confirmation_budget.take(1.0, now);
         }
         if let DirectCall::Do(batch) = &call {
-            machine.track_starts_in_flight(&batch.commands, 1);
+            machine.record_direct_call(&batch.commands);
         }
         machine.probe_zone_reachable =
             zone_heartbeat.is_some_and(|at| now < at + rules.heartbeat_interval);
@@ -180,11 +180,6 @@
                 NextDirectCall::Nothing
             };
         }
-        let send_commands = |agent_epoch: u64, commands: Vec<WorkerCommand>| {
-            let agent_epoch = Some(agent_epoch);
-            let batch = CommandBatch { token: rules.token, agent_epoch, commands };
-            NextDirectCall::Call(address, DirectCall::Do(batch))
-        };
         if machine.agent_epoch == 0 {
             // The machine's agent epoch is not known yet. Few leases ever expire, so most workers are in their first
             // epoch and are confirmed by the response to this call. Any other worker rejects it, and the rejection
@@ -192,13 +187,16 @@
             return if machine.confirmed {
                 NextDirectCall::Nothing
             } else {
-                send_commands(FIRST_AGENT_EPOCH, Vec::new())
+                let token = machine.fence.current(rules.tokens);
+                let agent_epoch = Some(FIRST_AGENT_EPOCH);
+                let batch = CommandBatch { token, agent_epoch, commands: Vec::new() };
+                NextDirectCall::Call(address, DirectCall::Do(batch))
             };
         }
-        let commands = if machine.commands_due { machine.direct_commands() } else { Vec::new() };
-        machine.commands_due = !commands.is_empty();
-        if !commands.is_empty() || !machine.confirmed {
-            send_commands(machine.agent_epoch, commands)
+        let batch = machine.direct_call(rules.tokens);
+        machine.commands_due = !batch.commands.is_empty();
+        if machine.commands_due || !machine.confirmed {
+            NextDirectCall::Call(address, DirectCall::Do(batch))
         } else if machine.delegated
             || machine.time_since_heartbeat(now) > rules.heartbeat_late_after
         {
--- a/src/scheduler/fair_share/scarcity.rs
+++ b/src/scheduler/fair_share/scarcity.rs
@@ -140,7 +140,7 @@
         let age = Duration::from_millis(totals.now_ms.saturating_sub(job.eligible_ms()));
         self.fair_share.scarcity.record_arrival(&group, work, age, totals.elapsed);
         // Work that arrived under a previous leader is in that leader's log.
-        if age <= totals.elapsed || self.term.token.0 <= 1 {
+        if age <= totals.elapsed || !self.term.token.has_predecessor() {
             *self.fair_share.arrived.entry(group).or_default() += work;
         }
     }
@@ -209,7 +209,7 @@
         let mut supply = Supply {
             exhausted: rental.allowed && is_exhausted(),
             presumed_exhausted: !self.fair_share.cloud_responded
-                && self.term.token.0 > 1
+                && self.term.token.has_predecessor()
                 && elapsed < SCARCITY_PRESUMED_FOR,
             ..Supply::default()
         };
--- a/src/scheduler/reconciliation.rs
+++ b/src/scheduler/reconciliation.rs
@@ -4,7 +4,7 @@
 //! nothing to the store: planning and persistence act on the updated state.
 
 use crate::constants::{INITIAL_TASK_BACKOFF, MACHINE_FAULT_JOBS};
-use crate::ids::{Amount, Attempt, JobId, MachineId, TaskId};
+use crate::ids::{Amount, Attempt, FencingToken, JobId, MachineId, TaskId};
 use crate::jobs::{Job, JobBody, LiveJob};
 use crate::scheduler::Scheduler;
 use crate::scheduler::fleet::FleetSummary;
@@ -14,6 +14,7 @@
 use crate::scheduler::task_exit::TaskExit;
 use crate::store::Cache;
 use crate::wire::{CommandBatch, Heartbeat, JobKind, Priority, TaskState, WorkerCommand};
+use crate::workers::command_log::{self, CommandRoute};
 use crate::workers::machine::{
     HeartbeatEffect, JOB_FINISHED, Machine, PlacedAttempt, StopRequest, TaskEvent,
 };
@@ -40,13 +41,13 @@
         }
         if self.fleet.terminated.contains(&heartbeat.machine) {
             // The heartbeat was sent before the machine was deleted, and the network delayed it.
-            return Some(self.answer(Vec::new()));
+            return Some(self.empty_answer(heartbeat));
         }
         if !self.fleet.machines.contains_key(&heartbeat.machine) {
             let Some(pool) =
                 self.fleet.pool(&heartbeat.machine_type, &heartbeat.zone, heartbeat.spot)
             else {
-                return Some(self.answer(Vec::new()));
+                return Some(self.empty_answer(heartbeat));
             };
             tracing::info!(machine = %heartbeat.machine, "heartbeat of an unknown machine");
             self.fleet.add_machine(&heartbeat.machine, pool, now);
@@ -54,8 +55,7 @@
         if !self.apply_heartbeat(heartbeat, cache, now) {
             return None;
         }
-        let commands = self.commands_in_response(&heartbeat.machine, now)?;
-        Some(self.answer(commands))
+        self.answer(&heartbeat.machine, now)
     }
 
     /// Applies the result of a direct call: the worker's heartbeat, or an error that says whether the call may still
@@ -73,7 +73,7 @@
         self.direct_calls.dirty_machines.insert(id.clone());
         let answered = !matches!(heartbeat, Err(crate::http::CallError::Unknown));
         if let (Some(batch), true) = (sent, answered) {
-            machine.track_starts_in_flight(&batch.commands, -1);
+            machine.record_direct_result(&batch.commands);
         }
         match heartbeat {
             Ok(heartbeat) if heartbeat.machine == *id => {
@@ -90,28 +90,26 @@
         }
     }
 
-    /// Returns the commands of an answer that is about to be sent and records that it renews the worker's lease.
-    pub(super) fn commands_in_response(
-        &mut self,
-        id: &MachineId,
-        now: Instant,
-    ) -> Option<Vec<WorkerCommand>> {
+    /// Returns the answer that is about to be sent to a worker and records that it renews the worker's lease.
+    pub(super) fn answer(&mut self, id: &MachineId, now: Instant) -> Option<CommandBatch> {
+        let tokens = self.term.tokens();
         let machine = self.fleet.machines.get_mut(id)?;
         // The answer renews the lease, which may now last for its full duration from this time.
         machine.last_answered = now;
-        let commands = machine.commands_for_answer();
+        let batch = machine.answer(tokens);
         // Starts and stops are repeated by direct call until a heartbeat confirms them. Most answers contain neither.
         machine.commands_due =
-            commands.iter().any(|command| !matches!(command, WorkerCommand::Forget { .. }));
+            batch.commands.iter().any(|command| !matches!(command, WorkerCommand::Forget { .. }));
         if machine.commands_due || !machine.confirmed {
             self.direct_calls.dirty_machines.insert(id.clone());
         }
-        Some(commands)
+        command_log::log_commands(id, machine.agent_epoch, &batch, CommandRoute::Heartbeat);
+        Some(batch)
     }
 
-    /// Returns the answer to a heartbeat that carries these commands.
-    pub(super) fn answer(&self, commands: Vec<WorkerCommand>) -> CommandBatch {
-        CommandBatch { token: self.term.token, agent_epoch: None, commands }
+    fn empty_answer(&self, heartbeat: &Heartbeat) -> CommandBatch {
+        let token = FencingToken::for_answer(self.term.token, heartbeat.token);
+        CommandBatch { token, agent_epoch: None, commands: Vec::new() }
     }
 
     /// Applies a heartbeat. Returns false if the worker has seen a higher fencing token than ours.
--- a/src/scheduler/relayed_heartbeats.rs
+++ b/src/scheduler/relayed_heartbeats.rs
@@ -3,7 +3,7 @@
 //! Each is applied and answered as if the worker had sent it to the leader at the time of its arrival here. Only the
 //! leader makes decisions about a worker.
 
-use crate::ids::{ControllerId, MachineId};
+use crate::ids::{ControllerId, FencingToken, MachineId};
 use crate::peers::heartbeat_relay::{
     HeartbeatResult, RelayedCommand, RelayedHeartbeat, UnchangedHeartbeat,
 };
@@ -28,14 +28,13 @@
             let result = match relayed {
                 RelayedHeartbeat::Full(heartbeat) => {
                     let heartbeat = Heartbeat::from(heartbeat);
-                    let commands = self.on_heartbeat(&heartbeat, cache, now)?.commands;
+                    let batch = self.on_heartbeat(&heartbeat, cache, now)?;
+                    let default_token = FencingToken::for_answer(self.term.token, heartbeat.token);
                     if let Some(machine) = self.fleet.machines.get_mut(&heartbeat.machine) {
                         machine.relayed_by =
                             Some(Relayer { controller: from.clone(), received_at: now });
                     }
-                    HeartbeatResult::Accepted(
-                        commands.into_iter().map(RelayedCommand::from).collect(),
-                    )
+                    HeartbeatResult::Accepted(RelayedCommand::from_batch(batch, default_token))
                 }
                 RelayedHeartbeat::Unchanged(unchanged) => self.on_unchanged(from, &unchanged, now),
             };
@@ -70,8 +69,9 @@
         self.fleet.zone_last_heartbeat[machine.zone] = Some(now);
         self.statistics.last_heartbeat = now;
         self.statistics.heartbeats += 1;
-        let commands = self.commands_in_response(id, now).unwrap_or_default();
-        HeartbeatResult::Accepted(commands.into_iter().map(RelayedCommand::from).collect())
+        let default_token = FencingToken::for_answer(token, machine.fence.reported());
+        let Some(batch) = self.answer(id, now) else { return HeartbeatResult::ResendInFull };
+        HeartbeatResult::Accepted(RelayedCommand::from_batch(batch, default_token))
     }
 
     /// Returns the controller that relayed the worker's last heartbeat, unless the next heartbeat is already late.
--- a/src/scheduler/term.rs
+++ b/src/scheduler/term.rs
@@ -1,8 +1,10 @@
 //! The leader's term for which a scheduler is created.
 
+use crate::constants::FORMAT_RAISED_TOKENS;
 use crate::ids::{Attempt, FencingToken, Revision};
 use crate::store::LEADER_KEY;
 use crate::wire::Precondition;
+use crate::workers::machine::LeaderTokens;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -15,13 +17,31 @@
     leader_revision: Revision,
     /// Start of the term.
     pub(super) started_at: Instant,
+    /// True if every controller accepts raised tokens in answers to workers.
+    may_raise_tokens: bool,
     /// Number of attempts that were created in this term.
     attempts_created: u64,
 }
 
 impl LeaderTerm {
     pub(super) fn new(token: FencingToken, leader_revision: Revision, now: Instant) -> LeaderTerm {
-        LeaderTerm { token, leader_revision, started_at: now, attempts_created: 0 }
+        LeaderTerm {
+            token,
+            leader_revision,
+            started_at: now,
+            may_raise_tokens: false,
+            attempts_created: 0,
+        }
+    }
+
+    /// Records the format that all controllers read.
+    pub(super) fn set_format(&mut self, format: u32) {
+        self.may_raise_tokens = format >= FORMAT_RAISED_TOKENS;
+    }
+
+    /// Returns the tokens that commands to workers may carry.
+    pub(super) fn tokens(&self) -> LeaderTokens {
+        LeaderTokens { leader: self.token, may_raise: self.may_raise_tokens }
     }
 
     pub(super) fn leader_revision(&self) -> Revision {
--- a/src/schema/records.rs
+++ b/src/schema/records.rs
@@ -10,7 +10,7 @@
 //! ([`Layout::is_second`]). Support for the first layout can be removed once no cluster runs a version
 //! that needs it and no job is live that such a version accepted.
 
-use crate::constants::FORMAT_CONTROLLER_LEASES;
+use crate::constants::FORMAT_RAISED_TOKENS;
 use crate::ids::{Amount, ControllerId, FencingToken};
 use crate::schema::encoding::json_len;
 use crate::wire::JobSpec;
@@ -20,7 +20,7 @@
 /// Newest format that this program reads and writes. Format 1 introduced the second layout, and
 /// format 2 the controller leases ([`crate::leadership::controller_lease`]). The oldest version
 /// announces no format, which counts as 0.
-pub const FORMAT: u32 = FORMAT_CONTROLLER_LEASES;
+pub const FORMAT: u32 = FORMAT_RAISED_TOKENS;
 /// First format with the second layout.
 const FORMAT_SECOND_LAYOUT: u32 = 1;
 /// Maximum number of tasks of a job for which the second layout stores completed tasks in the job's
--- a/src/workers/command_delivery.rs
+++ b/src/workers/command_delivery.rs
@@ -15,7 +15,7 @@
 use crate::http::CallError;
 use crate::ids::{FencingToken, MachineId};
 use crate::peers::heartbeat_relay::{FullHeartbeat, RelayedCommand};
-use crate::wire::{CommandBatch, Heartbeat, WorkerCommand};
+use crate::wire::{CommandBatch, Heartbeat};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -54,13 +54,23 @@
 }
 
 impl Delivery {
+    /// Returns the fencing token of its commands, given that of the leader; `None` if it has no commands.
+    pub fn token(&self, leader: FencingToken) -> Option<FencingToken> {
+        self.agent_epoch?;
+        let own = self.commands.iter().find_map(|command| match command {
+            RelayedCommand::UseToken(token) => Some(*token),
+            _ => None,
+        });
+        Some(own.unwrap_or(leader))
+    }
+
     /// Returns the call that the receiving controller makes for the leader with this fencing token.
     pub fn into_direct_call(self, token: FencingToken) -> DirectCall {
         match self.agent_epoch {
             None => DirectCall::Status,
-            Some(agent_epoch) => {
-                let commands = self.commands.into_iter().map(WorkerCommand::from).collect();
-                DirectCall::Do(CommandBatch { token, agent_epoch: Some(agent_epoch), commands })
+            Some(_) => {
+                let batch = RelayedCommand::into_batch(self.commands, token, self.agent_epoch);
+                DirectCall::Do(batch)
             }
         }
     }
--- a/src/workers/command_delivery/forwarded.rs
+++ b/src/workers/command_delivery/forwarded.rs
@@ -71,8 +71,7 @@
         }
         self.newest_request = (token, delivery.number);
         let requester = Requester { controller: from.clone(), token, number: delivery.number };
-        let command_token = delivery.agent_epoch.map(|_| token);
-        self.in_flight.insert(CallKey::new(&delivery.machine, command_token), requester);
+        self.in_flight.insert(CallKey::new(&delivery.machine, delivery.token(token)), requester);
         true
     }
 
--- a/src/workers/command_delivery/pending.rs
+++ b/src/workers/command_delivery/pending.rs
@@ -5,7 +5,7 @@
     split_into_frames,
 };
 use crate::http::CallError;
-use crate::ids::{ControllerId, MachineId};
+use crate::ids::{ControllerId, FencingToken, MachineId};
 use crate::peers::heartbeat_relay::RelayedCommand;
 use crate::wire::{CommandBatch, Heartbeat};
 use std::collections::BTreeMap;
@@ -46,6 +46,8 @@
 /// The leader's calls that other controllers make: unsent ones, and those whose result is outstanding.
 #[derive(Debug)]
 pub struct PendingDeliveries {
+    /// Fencing token of this leader, which the receiver uses for commands without a token of their own.
+    token: FencingToken,
     last_number: u64,
     calls: BTreeMap<u64, PendingCall>,
     unsent: BTreeMap<ControllerId, Vec<Delivery>>,
@@ -56,14 +58,16 @@
     /// for an earlier incarnation of this process match no call.
     pub fn new(first_number: u64) -> PendingDeliveries {
         PendingDeliveries {
+            token: FencingToken::default(),
             last_number: first_number,
             calls: BTreeMap::new(),
             unsent: BTreeMap::new(),
         }
     }
 
-    /// Discards all calls. A new term as leader begins with none in flight.
-    pub fn clear(&mut self) {
+    /// Begins a term as leader with this fencing token and no call in flight.
+    pub fn begin_term(&mut self, token: FencingToken) {
+        self.token = token;
         self.calls.clear();
         self.unsent.clear();
     }
@@ -89,8 +93,8 @@
             DirectCall::Do(batch) => Some(batch),
         };
         let agent_epoch = batch.as_ref().and_then(|batch| batch.agent_epoch);
-        let commands = batch.iter().flat_map(|batch| batch.commands.iter().cloned());
-        let commands = commands.map(RelayedCommand::from).collect();
+        let commands = batch.clone().map(|batch| RelayedCommand::from_batch(batch, self.token));
+        let commands = commands.unwrap_or_default();
         let delivery =
             Delivery { number, machine: machine.clone(), address, agent_epoch, commands };
         self.unsent.entry(by.clone()).or_default().push(delivery);
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -1,22 +1,24 @@
 //! The leader's view of a rented machine and its worker: heartbeats, lease, commands, and attempts that may run there.
 //!
 //! An attempt is *reported* once a heartbeat lists it. Until then its start may or may not have arrived, and the
-//! attempt stays booked on its machine. A start that was sent in a direct call without an answer is *in flight*: the
-//! network may deliver it minutes later, so such an attempt is never forgotten within its agent epoch (a late start
-//! would run a forgotten attempt again).
+//! attempt stays booked on its machine. The network may deliver a direct call, or a copy of one that was answered,
+//! minutes later, and its start would run a forgotten attempt again. So the answer that lets a worker forget an attempt
+//! carries a fencing token above those of all direct calls with its start ([`WorkerFence`]).
 
 mod attempt;
 mod commands;
+mod fence;
 mod heartbeat;
 mod usage;
 
 pub use attempt::{AttemptSpec, JOB_FINISHED, PlacedAttempt, StopRequest, TaskEvent};
 pub use commands::MAX_COMMANDS_PER_ANSWER;
+pub use fence::{LeaderTokens, WorkerFence};
 pub use heartbeat::HeartbeatEffect;
 pub use usage::{TeamUsage, Usage};
 
 use crate::cloud::MachinePool;
-use crate::ids::{Attempt, ControllerId, FencingToken, JobId, MachineId, TaskId};
+use crate::ids::{Attempt, ControllerId, JobId, MachineId, TaskId};
 use crate::placement::{Basket, Images};
 use foldhash::{HashSet, HashSetExt};
 use std::collections::BTreeMap;
@@ -75,8 +77,8 @@
     pub agent_epoch: u64,
     /// Sequence number of its last heartbeat within the agent epoch.
     heartbeat_seq: u64,
-    /// Highest fencing token that its worker is known to have seen.
-    pub token: FencingToken,
+    /// Fencing tokens of the commands to its worker.
+    pub fence: WorkerFence,
     /// Latest time at which this leader may have renewed its lease: when its last heartbeat was answered, or when its
     /// agent epoch was first reported if that was later.
     pub last_answered: Instant,
@@ -149,7 +151,7 @@
             up_since: None,
             agent_epoch: 0,
             heartbeat_seq: 0,
-            token: FencingToken(0),
+            fence: WorkerFence::default(),
             last_answered: now,
             last_heartbeat: None,
             revoked_since: None,
--- a/src/workers/machine/attempt.rs
+++ b/src/workers/machine/attempt.rs
@@ -48,6 +48,8 @@
     pub state: TaskState,
     /// Number of direct calls with its start that have not been answered.
     pub starts_in_flight: u32,
+    /// True if its start may have been sent in a direct call, of which a copy may arrive at any time.
+    pub sent_directly: bool,
     /// Stop request, once one was made.
     pub stop: Option<StopRequest>,
     /// Time at which it was placed.
@@ -73,6 +75,7 @@
             is_reported: false,
             state: TaskState::Fetching,
             starts_in_flight: 0,
+            sent_directly: false,
             stop: None,
             placed_at: now,
             running_since: None,
--- a/src/workers/machine/heartbeat.rs
+++ b/src/workers/machine/heartbeat.rs
@@ -32,7 +32,7 @@
         token: FencingToken,
         now: Instant,
     ) -> HeartbeatEffect {
-        if heartbeat.token > token {
+        if heartbeat.token > token && !heartbeat.token.is_of_leader(token) {
             return HeartbeatEffect::Superseded;
         }
         if (heartbeat.agent_epoch, heartbeat.seq) <= (self.agent_epoch, self.heartbeat_seq) {
@@ -43,7 +43,7 @@
             events.extend(self.begin_agent_epoch(heartbeat.agent_epoch, now));
         }
         self.heartbeat_seq = heartbeat.seq;
-        self.token = self.token.max(heartbeat.token);
+        self.fence.observe(heartbeat.token);
         if self.state == MachineState::Booting {
             self.state = MachineState::Up;
         }
@@ -59,7 +59,7 @@
         self.needs_full_heartbeat =
             heartbeat.tasks.iter().any(|task| task.state == TaskState::Exited);
         self.remove_vanished(&listed, &mut events);
-        if self.token == token {
+        if self.fence.reported() >= token {
             self.confirmed = true;
         }
         HeartbeatEffect::Recorded(events)
@@ -158,7 +158,7 @@
         let is_known = (self.agent_epoch, self.heartbeat_seq) == (agent_epoch, previous_seq)
             && previous_seq < seq;
         let is_booting = self.state == MachineState::Booting;
-        if !is_known || self.needs_full_heartbeat || self.token != token || is_booting {
+        if !is_known || self.needs_full_heartbeat || self.fence.reported() < token || is_booting {
             return false;
         }
         self.heartbeat_seq = seq;
@@ -230,7 +230,8 @@
     }
 }
 
-/// Returns an attempt placed by an earlier leader, whose resource request, team, priority and image are not known yet.
+/// Returns an attempt placed by an earlier leader, or forgotten by this one in an answer that was lost. Its resource
+/// request, team, priority and image are not known yet.
 fn found_attempt(state: TaskState, now: Instant) -> PlacedAttempt {
     let spec = AttemptSpec {
         request: Amount::default(),
@@ -238,5 +239,5 @@
         priority: Priority::Production,
         image: Arc::from(""),
     };
-    PlacedAttempt { state, ..PlacedAttempt::new(spec, now) }
+    PlacedAttempt { state, sent_directly: true, ..PlacedAttempt::new(spec, now) }
 }
--- a/src/workers/machine/tests.rs
+++ b/src/workers/machine/tests.rs
@@ -1,5 +1,8 @@
-use super::{AttemptSpec, HeartbeatEffect, Machine, PlacedAttempt, StopRequest, TaskEvent};
+use super::{
+    AttemptSpec, HeartbeatEffect, LeaderTokens, Machine, PlacedAttempt, StopRequest, TaskEvent,
+};
 use crate::cloud::MachinePool;
+use crate::constants::TOKENS_PER_TERM;
 use crate::ids::{Amount, Attempt, FencingToken, JobId, MachineId, TaskId};
 use crate::peers::heartbeat_relay::UnchangedHeartbeat;
 use crate::wire::{Heartbeat, Priority, TaskState, TaskStatus, WorkerCommand};
@@ -11,7 +14,11 @@
     UnchangedHeartbeat { machine: MachineId::new("i-1"), agent_epoch, previous_seq, seq }
 }
 
-const OUR_TOKEN: FencingToken = FencingToken(4);
+const OUR_TOKEN: FencingToken = FencingToken(4 * TOKENS_PER_TERM);
+
+fn tokens() -> LeaderTokens {
+    LeaderTokens { leader: OUR_TOKEN, may_raise: true }
+}
 
 fn machine() -> Machine {
     let pool = MachinePool { machine_type: 0, zone: 0, spot: false };
@@ -124,33 +131,118 @@
     events_of(machine.record_heartbeat(&heartbeat(1, 1, &[]), OUR_TOKEN, now));
     place(&mut machine, 0, 7);
     assert!(events_of(machine.record_heartbeat(&heartbeat(1, 2, &[]), OUR_TOKEN, now)).is_empty());
-    assert_eq!(machine.commands_for_answer().len(), 1);
+    assert_eq!(machine.answer(tokens()).commands.len(), 1);
     assert_eq!(
         events_of(machine.record_heartbeat(&heartbeat(2, 3, &[]), OUR_TOKEN, now)),
         [TaskEvent::Vanished(task(0), Attempt(7), None)]
     );
 }
 
+/// Places an attempt, sends its start directly, and reports its exit, which is then processed.
+fn run_directly(machine: &mut Machine, index: u32, attempt: u64, seq: u64) {
+    place(machine, index, attempt);
+    machine.commands_due = true;
+    let call = machine.direct_call(tokens());
+    machine.record_direct_call(&call.commands);
+    let exited = heartbeat(1, seq, &[(index, attempt, TaskState::Exited)]);
+    events_of(machine.record_heartbeat(&exited, OUR_TOKEN, Instant::now()));
+    for entry in machine.attempts.values_mut() {
+        entry.exit_handled = true;
+    }
+}
+
+/// Whether the direct call was answered makes no difference: a copy of it may arrive later.
 #[test]
-fn attempt_with_an_unanswered_direct_start_is_never_forgotten() {
+fn attempt_that_was_started_directly_is_forgotten_under_a_token_above_that_of_its_start() {
+    for is_answered in [false, true] {
+        let mut machine = machine();
+        run_directly(&mut machine, 0, 7, 1);
+        let start = WorkerCommand::Start { task: task(0), attempt: Attempt(7) };
+        if is_answered {
+            machine.record_direct_result(&[start]);
+        }
+        let sent_under = machine.fence.current(tokens());
+        let answer = machine.answer(tokens());
+        assert!(matches!(answer.commands[..], [WorkerCommand::Forget { .. }]));
+        assert!(answer.token > sent_under && answer.token.is_of_leader(OUR_TOKEN));
+        assert_eq!(machine.direct_call(tokens()).token, answer.token);
+        assert!(machine.attempts.is_empty());
+    }
+}
+
+#[test]
+fn attempt_that_was_started_directly_is_not_forgotten_while_tokens_cannot_be_raised() {
+    let mut machine = machine();
+    run_directly(&mut machine, 0, 7, 1);
+    let fixed = LeaderTokens { may_raise: false, ..tokens() };
+    let answer = machine.answer(fixed);
+    assert_eq!((answer.token, answer.commands), (OUR_TOKEN, Vec::new()));
+    assert_eq!(machine.attempts.len(), 1);
+    // An attempt that was started by an answer is forgotten without a higher token.
+    place(&mut machine, 1, 8);
+    assert!(matches!(machine.answer(fixed).commands[..], [WorkerCommand::Start { .. }]));
+    let exited = [(0, 7, TaskState::Exited), (1, 8, TaskState::Exited)];
+    events_of(machine.record_heartbeat(&heartbeat(1, 2, &exited), OUR_TOKEN, Instant::now()));
+    machine.attempts.values_mut().for_each(|entry| entry.exit_handled = true);
+    let answer = machine.answer(fixed);
+    assert_eq!(answer.token, OUR_TOKEN);
+    assert_eq!(answer.commands, [WorkerCommand::Forget { task: task(1), attempt: Attempt(8) }]);
+}
+
+/// Copies of the start that followed a lost answer carry the raised token.
+#[test]
+fn attempt_that_is_reported_again_after_a_lost_answer_is_forgotten_under_a_higher_token() {
     let mut machine = machine();
+    run_directly(&mut machine, 0, 7, 1);
+    let lost = machine.answer(tokens());
+    let again = heartbeat(1, 2, &[(0, 7, TaskState::Exited)]);
+    events_of(machine.record_heartbeat(&again, OUR_TOKEN, Instant::now()));
+    machine.attempts.values_mut().for_each(|entry| entry.exit_handled = true);
+    let answer = machine.answer(tokens());
+    assert!(matches!(answer.commands[..], [WorkerCommand::Forget { .. }]));
+    assert!(answer.token > lost.token);
+}
+
+#[test]
+fn tasks_start_by_answers_only_once_too_many_attempts_stay_on_the_worker() {
+    let mut machine = machine();
+    let fixed = LeaderTokens { may_raise: false, ..tokens() };
+    let mut direct_starts = 0;
+    for n in 0..200u32 {
+        place(&mut machine, n, 100 + u64::from(n));
+        machine.commands_due = true;
+        let call = machine.direct_call(fixed);
+        machine.record_direct_call(&call.commands);
+        direct_starts += call.commands.len();
+        let statuses: Vec<_> = machine
+            .attempts
+            .keys()
+            .map(|(task, attempt)| (task.index, attempt.0, TaskState::Exited))
+            .collect();
+        let exited = heartbeat(1, u64::from(n) + 1, &statuses);
+        events_of(machine.record_heartbeat(&exited, OUR_TOKEN, Instant::now()));
+        machine.attempts.values_mut().for_each(|entry| entry.exit_handled = true);
+        machine.answer(fixed);
+    }
+    assert_eq!((direct_starts, machine.attempts.len()), (64, 64));
+}
+
+#[test]
+fn heartbeat_with_a_raised_token_of_this_leader_is_recorded_and_confirms_the_machine() {
     let now = Instant::now();
-    events_of(machine.record_heartbeat(&heartbeat(1, 1, &[]), OUR_TOKEN, now));
-    place(&mut machine, 0, 7);
-    let commands = machine.direct_commands();
-    machine.track_starts_in_flight(&commands, 1);
-    events_of(machine.record_heartbeat(
-        &heartbeat(1, 2, &[(0, 7, TaskState::Exited)]),
-        OUR_TOKEN,
-        now,
-    ));
-    for entry in machine.attempts.values_mut() {
-        entry.exit_handled = true;
+    let raised = OUR_TOKEN.raised(OUR_TOKEN).unwrap();
+    let mut machine = machine();
+    machine.confirmed = false;
+    let own = Heartbeat { token: raised, ..heartbeat(1, 1, &[]) };
+    events_of(machine.record_heartbeat(&own, OUR_TOKEN, now));
+    assert!(machine.confirmed);
+    assert_eq!(machine.answer(tokens()).token, raised);
+    let incremented = FencingToken(OUR_TOKEN.0 + 1);
+    for later in [incremented, OUR_TOKEN.of_next_leader()] {
+        let superseded = Heartbeat { token: later, ..heartbeat(1, 2, &[]) };
+        let effect = machine.record_heartbeat(&superseded, OUR_TOKEN, now);
+        assert!(matches!(effect, HeartbeatEffect::Superseded), "{later}");
     }
-    assert!(machine.commands_for_answer().is_empty());
-    machine.track_starts_in_flight(&commands, -1);
-    assert!(matches!(machine.commands_for_answer()[..], [WorkerCommand::Forget { .. }]));
-    assert!(machine.attempts.is_empty());
 }
 
 /// Heartbeats don't list cached images. If a new leader didn't learn them from adopted attempts, most of the fleet
@@ -180,7 +272,7 @@
         entry.stop = Some(StopRequest { grace_s: 0.0, reason: "cancelled" });
     }
     assert!(matches!(
-        machine.commands_for_answer()[..],
+        machine.answer(tokens()).commands[..],
         [WorkerCommand::Start { .. }, WorkerCommand::Stop { .. }]
     ));
 }
@@ -222,10 +314,10 @@
     // that answer.
     let mut in_flight = reported();
     let start = WorkerCommand::Start { task: task(0), attempt: Attempt(9) };
-    in_flight.track_starts_in_flight(std::slice::from_ref(&start), 1);
+    in_flight.record_direct_call(std::slice::from_ref(&start));
     in_flight.record_heartbeat(&heartbeat(1, 6, &[]), OUR_TOKEN, now);
     assert_eq!(in_flight.attempts.len(), 1);
-    in_flight.track_starts_in_flight(&[start], -1);
+    in_flight.record_direct_result(&[start]);
     assert!(
         !in_flight.record_unchanged_heartbeat(&unchanged(1, 6, 7), OUR_TOKEN, now),
         "the attempt would stay booked forever"
--- a/tests/fault_combinations.rs
+++ b/tests/fault_combinations.rs
@@ -95,6 +95,9 @@
 fn run_combination(seed: u64) -> Outcome {
     let random = &mut StdRng::seed_from_u64(seed ^ 0x5eed);
     let mut world = World::new(seed);
+    if seed % 2 == 1 {
+        world.inject(Fault::RepeatedCommands(true));
+    }
     // Services, and jobs of two or three tasks that complete far apart; some of each are cancelled.
     for n in 0..3 {
         world.submit_at(3000, n, true, (n < 2).then(|| random.random_range(28_000..70_000)));
--- a/tests/heartbeat_sharding.rs
+++ b/tests/heartbeat_sharding.rs
@@ -42,6 +42,7 @@
     let mut violations = 0;
     for seed in seeds {
         let mut world = start_with_sharding(seed);
+        world.inject(Fault::RepeatedCommands(seed % 2 == 1));
         faults(&mut world, seed);
         let found = finish(world);
         if !found.is_empty() {
--- a/tests/repeated_commands.rs
+++ b/tests/repeated_commands.rs
@@ -45,6 +45,7 @@
     jobs: fn(&mut World),
 ) -> Vec<u64> {
     let mut violated = Vec::new();
+    let (runs, mut repeated) = (seeds.end - seeds.start, 0);
     for seed in seeds {
         let mut world = world_with_repeated_commands(seed);
         jobs(&mut world);
@@ -52,15 +53,15 @@
         world.run(END);
         world.check_final_state();
         let faults = &world.targeted_faults;
-        let repeated =
+        repeated +=
             faults.effects("repeated commands") + faults.effects("rejected repeated commands");
-        assert!(repeated > 0, "no command was repeated, seed {seed}");
         assert!(faults.effects(effect) > 0, "no effect: {effect}, seed {seed}");
         if !world.violations.is_empty() {
             println!("seed {seed}: {:#?}", &world.violations[..world.violations.len().min(3)]);
             violated.push(seed);
         }
     }
+    assert!(repeated > 2 * runs, "{repeated} commands were repeated in {runs} runs");
     violated
 }
 
--- a/tests/targeted_faults.rs
+++ b/tests/targeted_faults.rs
@@ -23,6 +23,9 @@
 impl Scenario {
     fn new(seed: u64, name: &str, jobs: fn(&mut World)) -> Scenario {
         let mut world = World::new(seed);
+        if seed % 2 == 1 {
+            world.inject(Fault::RepeatedCommands(true));
+        }
         jobs(&mut world);
         world.run(BEGIN);
         Scenario { world, description: format!("{name}, seed {seed}") }
--- a/tests/wire_format/mesh.rs
+++ b/tests/wire_format/mesh.rs
@@ -16,7 +16,7 @@
 use troutspindle::peers::mesh::{
     PeerCapabilities, PeerMessage, decode_text, dial, encode_text, serve, split_into_chunks,
 };
-use troutspindle::wire;
+use troutspindle::wire::{self, CommandBatch};
 use troutspindle::workers::command_delivery::{Delivery, DeliveryResult};
 
 const TOKEN: FencingToken = FencingToken(41);
@@ -181,6 +181,28 @@
     }
 }
 
+fn commands_under_raised_token() -> Vec<RelayedCommand> {
+    let token = TOKEN.raised(TOKEN).unwrap();
+    let batch = CommandBatch { token, agent_epoch: Some(300), commands: commands() };
+    RelayedCommand::from_batch(batch, TOKEN)
+}
+
+fn results_with_raised_token() -> PeerMessage {
+    let results = vec![(0, HeartbeatResult::Accepted(commands_under_raised_token()))];
+    PeerMessage::HeartbeatResults { token: TOKEN, batch: 301, results }
+}
+
+fn commands_with_raised_token() -> PeerMessage {
+    let command = Delivery {
+        number: 302,
+        machine: machine(1),
+        address: "10.1.0.232:9000".parse().unwrap(),
+        agent_epoch: Some(300),
+        commands: commands_under_raised_token(),
+    };
+    PeerMessage::RelayedCommands { from: sender(), token: TOKEN, commands: vec![command] }
+}
+
 fn command_results() -> PeerMessage {
     let results = vec![
         (302, DeliveryResult::Heartbeat(full_heartbeat())),
@@ -218,6 +240,8 @@
         message("mesh-verdicts", &heartbeat_results()),
         message("mesh-deliver", &relayed_commands()),
         message("mesh-delivered", &command_results()),
+        message("mesh-verdicts-raised-token", &results_with_raised_token()),
+        message("mesh-deliver-raised-token", &commands_with_raised_token()),
         Sample::written("mesh-pieces", split_into_chunks(&text, 300, 80).join("\n")),
     ]
 }
--- a/tests/wire_format/stored.rs
+++ b/tests/wire_format/stored.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use troutspindle::constants::{FORMAT_CONTROLLER_LEASES, TOKENS_PER_TERM};
 use troutspindle::drains::{DrainRecord, WITHDRAWN};
 use troutspindle::ids::{ControllerId, FencingToken, JobId, LeaseId, MachineId, Revision};
 use troutspindle::jobs::{self, Acceptance, FinalState, Jobs};
@@ -17,7 +18,7 @@
     legacy_completed_chunk_key, spec_chunk_key, version_key,
 };
 use troutspindle::schema::records::{
-    JobPhase, JobRecord, Layout, SpecChunks, TaskFootprint, VersionRecord,
+    FORMAT, JobPhase, JobRecord, Layout, SpecChunks, TaskFootprint, VersionRecord,
 };
 use troutspindle::settings::EffectiveStoreLimits;
 use troutspindle::store::{
@@ -341,13 +342,37 @@
     let commits = std::iter::from_fn(|| client.next_request()).map(|outgoing| outgoing.request);
     let commits =
         commits.filter(|call| matches!(call, StoreRequest::Commit(_))).map(committed).next();
+    let version = commits.expect("the client publishes its version");
+    // The first of each pair of lines is as earlier versions write it; only the number in it differs now.
+    let earlier_candidacy = with_number(&candidacy, TOKENS_PER_TERM * 2, 41);
+    let earlier_version = with_number(&version, FORMAT.into(), FORMAT_CONTROLLER_LEASES.into());
     vec![
-        Sample::cbor("commit-campaign", &candidacy),
+        Sample::cbor("commit-campaign", &earlier_candidacy),
+        Sample::cbor("commit-campaign-reserving-tokens", &candidacy),
         Sample::cbor("commit-heartbeat", &lease_key),
-        Sample::cbor("commit-version", &commits.expect("the client publishes its version")),
+        Sample::cbor("commit-version", &earlier_version),
+        Sample::cbor("commit-version-raised-tokens", &version),
     ]
 }
 
+/// Returns the transaction with one number in its values replaced by another.
+fn with_number(transaction: &Transaction, from: u64, to: u64) -> Transaction {
+    fn replace(value: &mut StoreValue, from: &StoreValue, to: &StoreValue) {
+        if value == from {
+            *value = to.clone();
+        } else if let StoreValue::Map(fields) = value {
+            fields.iter_mut().for_each(|(_, value)| replace(value, from, to));
+        }
+    }
+    let mut changed = transaction.clone();
+    for write in &mut changed.writes {
+        if let Write::Put { data, .. } = write {
+            replace(data, &StoreValue::from(from), &StoreValue::from(to));
+        }
+    }
+    changed
+}
+
 /// Samples the values that a leader writes after it has observed two runs of one job.
 fn estimates() -> Vec<Sample> {
     let profile = Profile {
