A status from before a restart no longer moves a follower's start back

The leader bounds the last answer that a follower may have given for it to a silent machine by the follower's reports, or by the start of its process, since a restart loses what was not reported. It took that start from whatever status came last. A copy of a status from before the restart moved it back by up to the earlier uptime, and a lease could count as over while the machine still had it: stale knowledge again, of a process that is no more.

--- a/src/leadership/delegation.rs
+++ b/src/leadership/delegation.rs
@@ -167,7 +167,8 @@
     valid_until: Instant,
     acknowledged_number: u64,
     last_direct_status_at: Instant,
-    started_at: Instant,
+    /// Latest start of its process that any status implies; `None` before the first status.
+    started_at: Option<Instant>,
     answered: BTreeMap<MachineId, Instant>,
 }
 
@@ -179,7 +180,7 @@
             valid_until: now + DELEGATED_LEASE_TTL.mul_f64(1.0 + MAX_CLOCK_DRIFT),
             acknowledged_number: 0,
             last_direct_status_at: now,
-            started_at: now,
+            started_at: None,
             answered: BTreeMap::new(),
         }
     }
@@ -211,8 +212,10 @@
         if status.route == MessageRoute::Direct {
             follower.last_direct_status_at = now;
         }
-        // Network delays make these times later than they really were, which is safe.
-        follower.started_at = now.checked_sub(status.uptime).unwrap_or(self.leading_since);
+        // Network delays make these times later than they really were, which is safe. A status from before a restart
+        // may arrive after one from after it.
+        let started_at = now.checked_sub(status.uptime).unwrap_or(self.leading_since);
+        follower.started_at = follower.started_at.max(Some(started_at));
         for (machine, age_ms) in status.answered_for_leader {
             let age = Duration::from_millis(*age_ms);
             let at = now.checked_sub(age).unwrap_or(self.leading_since);
@@ -273,7 +276,7 @@
         let latest = |follower: &Follower| match revoked_since {
             // The follower obeys the revocation. It last answered at the reported time, or before its process started.
             Some(number) if follower.acknowledged_number >= number => {
-                let started_at = follower.started_at;
+                let started_at = follower.started_at.unwrap_or(follower.valid_until);
                 follower.answered.get(machine).map_or(started_at, |at| (*at).max(started_at))
             }
             _ => follower.valid_until,
--- a/src/leadership/delegation/tests.rs
+++ b/src/leadership/delegation/tests.rs
@@ -137,3 +137,84 @@
         }
     }
 }
+
+/// Follower that restarts at random, with the start of its process.
+struct RestartingFollower {
+    lease: DelegatedLease,
+    started_at: Instant,
+}
+
+impl RestartingFollower {
+    fn new(now: Instant) -> RestartingFollower {
+        RestartingFollower { lease: DelegatedLease::default(), started_at: now }
+    }
+}
+
+/// Status of a restarting follower that has not reached the leader yet.
+struct TimedStatus {
+    due: Instant,
+    sent_at: Instant,
+    uptime: Duration,
+    acknowledged: GrantId,
+    answered_for_leader: Vec<(MachineId, u64)>,
+}
+
+/// A restart discards the answers that were not reported yet, and a copy of a status from before it arrives after it.
+#[test]
+fn late_status_from_before_a_restart_does_not_move_the_bound_back() {
+    let peer = ControllerId::new("b");
+    for seed in 0..300 {
+        let random = &mut StdRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut delegations = Delegations::new(FencingToken(1), [peer.clone()].into_iter(), start);
+        let mut follower = RestartingFollower::new(start);
+        let mut revoked_since = None;
+        let mut to_leader: Vec<TimedStatus> = Vec::new();
+        let mut last_answer: Option<Instant> = None;
+        for step in 0..400u64 {
+            let now = start + Duration::from_millis(step * 250);
+            // It restarts about when the machine is revoked, so that some of its last answers are never reported.
+            if step % 64 == 30 + seed % 6 {
+                follower = RestartingFollower::new(now);
+            }
+            let sent = if step % 2 == 0 { random.random_range(1..3) } else { 0 };
+            for copy in 0..sent {
+                let delay_ms = random.random_range(0..400) + copy * random.random_range(0..9000);
+                to_leader.push(TimedStatus {
+                    due: now + Duration::from_millis(delay_ms),
+                    sent_at: now,
+                    uptime: now - follower.started_at,
+                    acknowledged: follower.lease.acknowledged(),
+                    answered_for_leader: follower.lease.answered_for_leader(now),
+                });
+            }
+            for status in to_leader.extract_if(.., |status| status.due <= now) {
+                let received = FollowerStatus {
+                    acknowledged: status.acknowledged,
+                    uptime: status.uptime,
+                    answered_for_leader: &status.answered_for_leader,
+                    route: MessageRoute::Direct,
+                };
+                delegations.record_status(&peer, &received, now);
+                let number = delegations.next_number();
+                let is_revoked = step / 32 % 2 == 1;
+                revoked_since = if is_revoked { revoked_since.or(Some(number)) } else { None };
+                let machines = GrantedMachines {
+                    revoked: revoked_since.map(|_| machine()).into_iter().collect(),
+                    delegated: vec![machine()],
+                };
+                let id = GrantId { token: FencingToken(1), number };
+                delegations.grant(&peer, 0, machines.clone(), now);
+                if status.sent_at >= follower.started_at {
+                    let route = MessageRoute::Direct;
+                    follower.lease.record_grant(id, machines, route, status.sent_at, now);
+                }
+            }
+            if follower.lease.answer(&machine(), FencingToken(1), now).is_some() {
+                last_answer = Some(now);
+            }
+            let bound = delegations.latest_possible_answer(&machine(), revoked_since);
+            assert!(last_answer.is_none_or(|at| Some(at) <= bound), "seed {seed} step {step}");
+        }
+    }
+}
