--- a/src/workers/machine/attempt.rs
+++ b/src/workers/machine/attempt.rs
@@ -48,7 +48,8 @@
     pub state: TaskState,
     /// Number of direct calls with its start that have not been answered.
     pub starts_in_flight: u32,
-    /// True if its start may have been sent in a direct call, of which a copy may arrive at any time.
+    /// True if its start was sent in a direct call under the current or an earlier token of this leader, so that a copy
+    /// may be executed at any time.
     pub sent_directly: bool,
     /// Stop request, once one was made.
     pub stop: Option<StopRequest>,
--- a/src/workers/machine/heartbeat.rs
+++ b/src/workers/machine/heartbeat.rs
@@ -231,7 +231,8 @@
 }
 
 /// Returns an attempt placed by an earlier leader, or forgotten by this one in an answer that was lost. Its resource
-/// request, team, priority and image are not known yet.
+/// request, team, priority and image are not known yet. Direct calls with its start carry lower tokens than the next
+/// answer.
 fn found_attempt(state: TaskState, now: Instant) -> PlacedAttempt {
     let spec = AttemptSpec {
         request: Amount::default(),
@@ -239,5 +240,5 @@
         priority: Priority::Production,
         image: Arc::from(""),
     };
-    PlacedAttempt { state, sent_directly: true, ..PlacedAttempt::new(spec, now) }
+    PlacedAttempt { state, ..PlacedAttempt::new(spec, now) }
 }
