Simulation: direct calls and starts have files of their own

workers.rs held four things. Calls now have one way to time out and one check of token and agent epoch, which late and repeated copies share.

--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -16,7 +16,9 @@
 mod previous_version;
 mod store_service;
 mod targeted_faults;
+mod task_starts;
 mod users;
+mod worker_calls;
 mod workers;
 mod world;
 
--- a/crates/simulation/src/targeted_faults.rs
+++ b/crates/simulation/src/targeted_faults.rs
@@ -167,7 +167,7 @@
 
     /// Delivers direct commands after their sender has timed out.
     pub fn execute_delayed_commands(&mut self, id: &MachineId, batch: CommandBatch) {
-        if self.execute_unanswered(id, batch) {
+        if self.execute_unanswered(id, &batch) {
             self.targeted_faults.record_effect("delayed commands");
         }
     }
@@ -190,7 +190,7 @@
             let event = SimEvent::RepeatedCommands(id.clone(), batch);
             return self.blocked_messages.push(event);
         }
-        let effect = if self.execute_unanswered(id, batch) {
+        let effect = if self.execute_unanswered(id, &batch) {
             "repeated commands"
         } else {
             "rejected repeated commands"
@@ -199,15 +199,14 @@
     }
 
     /// Lets a worker execute direct commands whose response nobody awaits. Returns false if it rejects them.
-    fn execute_unanswered(&mut self, id: &MachineId, batch: CommandBatch) -> bool {
+    fn execute_unanswered(&mut self, id: &MachineId, batch: &CommandBatch) -> bool {
         let Some(worker) = self.workers.get_mut(id) else { return false };
-        let valid = batch.token >= worker.token && batch.agent_epoch == Some(worker.agent_epoch);
-        if !valid || worker.terminated {
+        if worker.terminated || !self.accept_commands(id, batch) {
             return false;
         }
-        worker.token = batch.token;
-        worker.changed = true;
-        self.execute(id, batch.commands);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.changed = true;
+        }
         true
     }
 }
