Log what was read from the store, why tasks stop, and how tokens rise

The records of the incident could not tell what each controller knew. At info: the revision at which a leadership starts; the counts carry how often tokens were raised and how many exited attempts wait to be forgotten. Tests of the ranges of tokens.

--- a/crates/protocol/src/ids.rs
+++ b/crates/protocol/src/ids.rs
@@ -81,6 +81,11 @@
         next.is_of_leader(leader).then_some(next)
     }
 
+    /// Returns how many times the token of the leader with the token `leader` was raised to reach this one.
+    pub fn raises_since_election(self, leader: FencingToken) -> u64 {
+        (self.0 + 1).saturating_sub(leader.0 + FIRST_RAISED_TOKEN)
+    }
+
     /// Returns the token of the leader with the token `leader` for an answer to a heartbeat that shows `reported`: the
     /// lowest one that the worker accepts, or `leader` if the worker has seen another leader's token.
     pub fn for_answer(leader: FencingToken, reported: FencingToken) -> FencingToken {
@@ -231,3 +236,6 @@
     TeamId);
 index_type!(/// Identifies a machine type by its position in the cloud's list of types.
     MachineTypeId);
+
+#[cfg(test)]
+mod tests;
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -121,7 +121,8 @@
         let mut scheduler = Scheduler::new(token, *leader_revision, settings, cache, wall, now);
         scheduler.on_cancellation_acknowledged(&self.api.acknowledged_cancellations.all(), cache);
         let machines = scheduler.machine_count();
-        tracing::info!(fencing_token = %token, machines, "leadership started");
+        let revision = self.store.cache.rev;
+        tracing::info!(fencing_token = %token, machines, %revision, "leadership started");
         self.cloud.begin_leadership(token, now);
         self.scheduler = Some(scheduler);
         self.sharding.begin_leadership(token);
--- a/src/controller/store_events.rs
+++ b/src/controller/store_events.rs
@@ -1,8 +1,8 @@
 //! Handling of events from the store client.
 
-use super::Controller;
 use super::leader::LEADERSHIP_SYNC_TICKET;
 use super::ticks::PROBE_TICKET;
+use super::{Controller, age_ms};
 use crate::http::Response;
 use crate::leadership::election::ElectionStep;
 use crate::store::{StoreEvent, WriteOrigin, WriteOutcome};
@@ -19,12 +19,7 @@
                     scheduler.on_jobs(&ids, &self.store.cache, now);
                 }
             }
-            StoreEvent::Synced(LEADERSHIP_SYNC_TICKET) => self.start_leading(now),
-            StoreEvent::Synced(PROBE_TICKET) => self.is_probing_store = false,
-            StoreEvent::Synced(ticket) => {
-                let response = self.api.on_synced(ticket, &mut self.store, now);
-                self.respond_if_ready(ticket, response);
-            }
+            StoreEvent::Synced(ticket) => self.on_store_synced(ticket, now),
             StoreEvent::WriteSettled(origin, outcome) => self.on_outcome(origin, outcome, now),
             StoreEvent::ControllerLease { request, sent_at, response } => {
                 self.controller_lease.on_response(&request, sent_at, &response, now);
@@ -37,6 +32,19 @@
         }
     }
 
+    fn on_store_synced(&mut self, ticket: u64, now: Instant) {
+        let requested_ms_ago = self.store.synced_at.map(|at| age_ms(at, now));
+        tracing::debug!(revision = %self.store.cache.rev, requested_ms_ago, "store read");
+        match ticket {
+            LEADERSHIP_SYNC_TICKET => self.start_leading(now),
+            PROBE_TICKET => self.is_probing_store = false,
+            ticket => {
+                let response = self.api.on_synced(ticket, &mut self.store, now);
+                self.respond_if_ready(ticket, response);
+            }
+        }
+    }
+
     fn on_outcome(&mut self, origin: WriteOrigin, outcome: WriteOutcome, now: Instant) {
         match origin {
             WriteOrigin::Operator(ticket) => self.on_drain_outcome(ticket, outcome),
--- a/src/scheduler/status.rs
+++ b/src/scheduler/status.rs
@@ -77,7 +77,10 @@
         let zones = &self.settings.platform.params.zones;
         let mut by_kind: BTreeMap<String, u32> = BTreeMap::new();
         let mut free = Amount::default();
+        let (mut token_raises, mut unforgotten) = (0, 0);
         for machine in self.fleet.machines.values() {
+            token_raises += machine.fence.raises(self.term.token);
+            unforgotten += machine.attempts.values().filter(|a| a.exit_handled).count();
             let silent = machine.time_since_heartbeat(now) > self.settings.heartbeat_interval() * 3;
             let name = format!(
                 "{}-{}-{}",
@@ -104,6 +107,8 @@
             free_cpus = free.cpu as f64 / MICRO,
             starts = self.statistics.starts,
             stops = self.statistics.stops,
+            token_raises,
+            unforgotten,
             "counts"
         );
         if let Some(demand) = self.demand_line(now) {
--- a/src/workers/machine/commands.rs
+++ b/src/workers/machine/commands.rs
@@ -99,6 +99,9 @@
     /// Requests the stop of an attempt. The command is sent with the next answer, or earlier in a direct call.
     pub fn request_stop(&mut self, key: &(TaskId, Attempt), stop: StopRequest) {
         if let Some(attempt) = self.attempts.get_mut(key) {
+            let (task, number) = key;
+            let reason = stop.reason;
+            tracing::debug!(machine = %self.id, %task, attempt = %number, reason, "stop requested");
             attempt.stop = Some(stop);
             self.commands_due = true;
         }
--- a/src/workers/machine/fence.rs
+++ b/src/workers/machine/fence.rs
@@ -32,6 +32,11 @@
         self.current.max(tokens.leader)
     }
 
+    /// Returns how often this leader has raised the worker's token.
+    pub fn raises(&self, leader: FencingToken) -> u64 {
+        self.current.raises_since_election(leader)
+    }
+
     /// Records the token in a heartbeat.
     pub(super) fn observe(&mut self, token: FencingToken) {
         self.reported = self.reported.max(token);
