--- a/src/workers/command_log.rs
+++ b/src/workers/command_log.rs
@@ -41,7 +41,9 @@
             WorkerCommand::Stop { task, attempt, .. } => ("stop", task, attempt),
             WorkerCommand::Forget { task, attempt } => ("forget", task, attempt),
         };
-        let token = batch.token;
-        tracing::debug!(command, %machine, %task, %attempt, %token, agent_epoch, %route, "command sent");
+        let fencing_token = batch.token;
+        tracing::debug!(
+            command, %machine, %task, %attempt, %fencing_token, agent_epoch, %route, "command sent"
+        );
     }
 }
