Tests: whoever answers or calls for the leader uses the raised token

A delegated answer and a relayed one repeat the token that the worker's heartbeat shows, a forwarded call carries the one that the leader names; a lower one would be dropped and the worker's lease would run out.

--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -283,4 +283,9 @@
     assert_eq!(controller.delegated_lease.acknowledged(), id);
     assert_eq!(token(&mut controller, "i-1"), None);
     assert_eq!(token(&mut controller, "i-2"), Some(FencingToken(2)));
+    // The successor has raised the token of this worker.
+    let raised = FencingToken(2).raised(FencingToken(2)).unwrap();
+    let reported = Heartbeat { token: raised, ..heartbeat("i-2") };
+    let answer = controller.answer_for_leader(&reported, now);
+    assert_eq!(answer.map(|commands| commands.token), Some(raised));
 }
--- a/src/peers/heartbeat_relay/tests.rs
+++ b/src/peers/heartbeat_relay/tests.rs
@@ -279,3 +279,25 @@
         "{unchanged_count} of {relayed_count} heartbeats were relayed as unchanged"
     );
 }
+
+/// Otherwise the worker would drop the answer, and its lease would expire.
+#[test]
+fn worker_with_a_raised_token_is_answered_under_that_token_or_the_one_that_the_leader_names() {
+    let now = Instant::now();
+    let mut relay = relay(now);
+    let leader = FencingToken(3);
+    let raised = leader.raised(leader).unwrap();
+    let higher = raised.raised(leader).unwrap();
+    for seq in [1, 2] {
+        let reported = Heartbeat { token: raised, ..heartbeat("i-1", seq, &[]) };
+        relay.accept(seq, reported, now).unwrap();
+        let batch = relay.take_batches(leader, now + BATCH_DELAY).pop().unwrap();
+        let commands = vec![RelayedCommand::UseToken(higher)];
+        let named = vec![(0, HeartbeatResult::Accepted(commands))];
+        let results = if seq == 1 { Vec::new() } else { named };
+        let replies = relay.on_results(leader, batch.number, results, now);
+        let expected = if seq == 1 { raised } else { higher };
+        assert_eq!(replies[0].commands.token, expected);
+        assert!(replies[0].commands.commands.is_empty());
+    }
+}
--- a/src/workers/command_delivery/tests.rs
+++ b/src/workers/command_delivery/tests.rs
@@ -114,3 +114,21 @@
         assert!(postcard::to_stdvec(&frame.deliveries).unwrap().len() < BODY_MAX);
     }
 }
+
+#[test]
+fn forwarded_call_carries_the_raised_token_of_its_worker() {
+    let now = Instant::now();
+    let (leader, leader_token) = (ControllerId::new("a"), FencingToken(3));
+    let raised = leader_token.raised(leader_token).unwrap();
+    let mut deliveries = PendingDeliveries::new(0);
+    deliveries.begin_term(leader_token);
+    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let call = DirectCall::Do(start_batch(raised.0));
+    deliveries.push(&ControllerId::new("b"), machine(), address, call, now);
+    let delivery = deliveries.take_frames().pop().unwrap().deliveries.pop().unwrap();
+    let mut forwarded = ForwardedCalls::new();
+    assert!(forwarded.begin(&leader, leader_token, &delivery));
+    let DirectCall::Do(batch) = delivery.into_direct_call(leader_token) else { panic!() };
+    assert_eq!((batch.token, &batch.commands), (raised, &start_batch(raised.0).commands));
+    assert!(forwarded.end(&machine(), Some(&batch), &Ok(heartbeat()), now));
+}
--- a/src/workers/machine/fence.rs
+++ b/src/workers/machine/fence.rs
@@ -43,11 +43,9 @@
         self.current = self.current.max(token);
     }
 
-    /// Raises the token of the next command above those of all earlier ones. Returns false if that is not possible.
-    pub(super) fn raise(&mut self, tokens: LeaderTokens) -> bool {
-        let raised = self.next(tokens);
-        self.current = raised.unwrap_or(self.current);
-        raised.is_some()
+    /// Raises the token of the next command above those of all earlier ones, if it can be raised.
+    pub(super) fn raise(&mut self, tokens: LeaderTokens) {
+        self.current = self.next(tokens).unwrap_or(self.current);
     }
 
     /// Returns whether the token can be raised.
