Relayed commands: one place tells which token they carry

Reread of the change. Delivery::token looked for UseToken as into_batch did, which left its match by a continue; both now ask RelayedCommand::token_of. The list of formats names the third; a direct call is prepared without changing its machine.

--- a/crates/scale-test/src/worker.rs
+++ b/crates/scale-test/src/worker.rs
@@ -166,11 +166,8 @@
                 let exit_cause = if task.fails { "error" } else { "done" };
                 (task.state, task.exit_cause) = (TaskState::Exited, Some(exit_cause));
                 self.changed = true;
-                if !task.fails && self.completed.insert(id.clone()) {
-                    self.events.push(Happening::Ended(id.clone(), task.attempt, true));
-                } else {
-                    self.events.push(Happening::Ended(id.clone(), task.attempt, false));
-                }
+                let is_completed = !task.fails && self.completed.insert(id.clone());
+                self.events.push(Happening::Ended(id.clone(), task.attempt, is_completed));
             }
         }
     }
--- a/src/peers/heartbeat_relay/messages.rs
+++ b/src/peers/heartbeat_relay/messages.rs
@@ -144,21 +144,28 @@
         default_token: FencingToken,
         agent_epoch: Option<u64>,
     ) -> CommandBatch {
-        let mut batch = CommandBatch { token: default_token, agent_epoch, commands: Vec::new() };
-        for command in commands {
-            batch.commands.push(match command {
-                RelayedCommand::Start(task, attempt) => WorkerCommand::Start { task, attempt },
-                RelayedCommand::Stop(task, attempt, grace_s) => {
-                    WorkerCommand::Stop { task, attempt, grace_s }
-                }
-                RelayedCommand::Forget(task, attempt) => WorkerCommand::Forget { task, attempt },
-                RelayedCommand::UseToken(token) => {
-                    batch.token = token;
-                    continue;
-                }
-            });
-        }
-        batch
+        let token = RelayedCommand::token_of(&commands).unwrap_or(default_token);
+        let commands = commands.into_iter().filter_map(RelayedCommand::into_worker_command);
+        CommandBatch { token, agent_epoch, commands: commands.collect() }
+    }
+
+    /// Returns the fencing token that the commands name; `None` if it follows from the frame.
+    pub fn token_of(commands: &[RelayedCommand]) -> Option<FencingToken> {
+        commands.iter().find_map(|command| match command {
+            RelayedCommand::UseToken(token) => Some(*token),
+            _ => None,
+        })
+    }
+
+    fn into_worker_command(self) -> Option<WorkerCommand> {
+        Some(match self {
+            RelayedCommand::Start(task, attempt) => WorkerCommand::Start { task, attempt },
+            RelayedCommand::Stop(task, attempt, grace_s) => {
+                WorkerCommand::Stop { task, attempt, grace_s }
+            }
+            RelayedCommand::Forget(task, attempt) => WorkerCommand::Forget { task, attempt },
+            RelayedCommand::UseToken(_) => return None,
+        })
     }
 }
 
--- a/src/scheduler/reconciliation.rs
+++ b/src/scheduler/reconciliation.rs
@@ -14,7 +14,7 @@
 use crate::scheduler::task_exit::TaskExit;
 use crate::store::Cache;
 use crate::wire::{CommandBatch, Heartbeat, JobKind, Priority, TaskState, WorkerCommand};
-use crate::workers::command_log::{self, CommandRoute};
+use crate::workers::command_log::{CommandRoute, log_commands};
 use crate::workers::machine::{
     HeartbeatEffect, JOB_FINISHED, Machine, PlacedAttempt, StopRequest, TaskEvent,
 };
@@ -103,7 +103,7 @@
         if machine.commands_due || !machine.confirmed {
             self.direct_calls.dirty_machines.insert(id.clone());
         }
-        command_log::log_commands(id, machine.agent_epoch, &batch, CommandRoute::Heartbeat);
+        log_commands(id, machine.agent_epoch, &batch, CommandRoute::Heartbeat);
         Some(batch)
     }
 
--- a/src/schema/records.rs
+++ b/src/schema/records.rs
@@ -17,9 +17,10 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// Newest format that this program reads and writes. Format 1 introduced the second layout, and
-/// format 2 the controller leases ([`crate::leadership::controller_lease`]). The oldest version
-/// announces no format, which counts as 0.
+/// Newest format that this program reads and writes. Format 1 introduced the second layout,
+/// format 2 the controller leases ([`crate::leadership::controller_lease`]), and format 3 raised
+/// fencing tokens ([`crate::workers::machine::WorkerFence`]). The oldest version announces no
+/// format, which counts as 0.
 pub const FORMAT: u32 = FORMAT_RAISED_TOKENS;
 /// First format with the second layout.
 const FORMAT_SECOND_LAYOUT: u32 = 1;
--- a/src/workers/command_delivery.rs
+++ b/src/workers/command_delivery.rs
@@ -56,12 +56,7 @@
 impl Delivery {
     /// Returns the fencing token of its commands, given that of the leader; `None` if it has no commands.
     pub fn token(&self, leader: FencingToken) -> Option<FencingToken> {
-        self.agent_epoch?;
-        let own = self.commands.iter().find_map(|command| match command {
-            RelayedCommand::UseToken(token) => Some(*token),
-            _ => None,
-        });
-        Some(own.unwrap_or(leader))
+        self.agent_epoch.map(|_| RelayedCommand::token_of(&self.commands).unwrap_or(leader))
     }
 
     /// Returns the call that the receiving controller makes for the leader with this fencing token.
--- a/src/workers/machine/commands.rs
+++ b/src/workers/machine/commands.rs
@@ -25,7 +25,7 @@
     }
 
     /// Returns the due commands for a direct call.
-    pub fn direct_call(&mut self, tokens: LeaderTokens) -> CommandBatch {
+    pub fn direct_call(&self, tokens: LeaderTokens) -> CommandBatch {
         let mut commands = if self.commands_due { self.due_commands() } else { Vec::new() };
         if self.must_start_by_answer(tokens) {
             commands.retain(|command| !self.is_first_direct_start(command));
