Log which tasks wait beside a machine with room, and why they don't start there

Log and metrics could not tell an exclusion after a failure from a full machine, a basket or the team's limit.

Change: a pass names the obstacle of the first 16 requests that remain although a machine that is up has room: the job failed there, the other basket, the limit of the heavy basket, a gang that fits in part, urgent work that left recently. The tasks count under that cause in 'waits_for' instead of 'no room', and each is logged with its job and the machine.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -12,14 +12,16 @@
 mod gang;
 mod image_index;
 mod model;
+mod obstacle;
 mod packing;
 mod scale_out;
 mod service_order;
 
 pub use basket::Basket;
 pub use model::{
-    Bin, BinIndex, Images, MachineTypeOffer, PlacementInput, PlacementPlan, PlacementRequest,
-    PlannedStart, RequestIndex, RequestTasks, ScaleOutPolicy, ZoneLimits, max_copies,
+    Bin, BinIndex, HeldBack, Images, MachineTypeOffer, Obstacle, PlacementInput, PlacementPlan,
+    PlacementRequest, PlannedStart, RequestIndex, RequestTasks, ScaleOutPolicy, ZoneLimits,
+    max_copies,
 };
 pub use packing::plan;
 pub use service_order::{QueuedJob, sort_by_service_order};
--- a/src/placement/model.rs
+++ b/src/placement/model.rs
@@ -225,6 +225,38 @@
     pub tasks: u32,
 }
 
+/// Reason for which a task is not started on a machine that is up and has room for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// Tasks of the job failed on the machine.
+    JobFailedThere,
+    /// Tasks of higher priority left the machine recently and may return.
+    RecentlyVacated,
+    /// The machine belongs to the other basket.
+    OtherBasket,
+    /// The heavy basket has reached its limit.
+    HeavyLimit,
+    /// The gang fits only in part.
+    IncompleteGang,
+    /// None of the others, such as room that this pass left to the start of another task.
+    Unknown,
+}
+
+/// Tasks of one request that wait although a machine that is up has room for them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldBack {
+    /// Request that the tasks belong to.
+    pub request: RequestIndex,
+    /// Number of these tasks.
+    pub tasks: u32,
+    /// First machine that has room.
+    pub bin: BinIndex,
+    /// Reason for which they don't start there.
+    pub obstacle: Obstacle,
+    /// True if they are booked on machines that are booting or to be rented.
+    pub booked: bool,
+}
+
 /// Result of one planning pass.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PlacementPlan {
@@ -234,6 +266,8 @@
     pub booked: Vec<RequestTasks>,
     /// Tasks for which there is neither free capacity nor a usable offer.
     pub unplaceable: Vec<RequestTasks>,
+    /// Which of the booked and unplaceable tasks wait beside a machine that is up and has room.
+    pub held_back: Vec<HeldBack>,
     /// Number of machines to rent of each offer, in the order of [`PlacementInput::offers`].
     pub scale_out: Vec<u32>,
 }
--- a/src/placement/packing.rs
+++ b/src/placement/packing.rs
@@ -27,6 +27,7 @@
         plan: PlacementPlan::default(),
     };
     packer.place_all(&mut requests);
+    packer.explain_waiting(&requests);
     PlacementPlan { scale_out: packer.scale_out.into_counts(), ..packer.plan }
 }
 
--- a/src/scheduler/planning.rs
+++ b/src/scheduler/planning.rs
@@ -22,11 +22,13 @@
 use crate::cloud::{CloudClient, PendingRental};
 use crate::ids::JobId;
 use crate::jobs::Job;
+use crate::placement::Obstacle;
 use crate::scheduler::Scheduler;
 use crate::scheduler::consolidation::CONSOLIDATION_INTERVAL;
 use crate::scheduler::job_progress::JobProgress;
 use crate::scheduler::planning_clock::MIN_PASS_INTERVAL;
 use crate::scheduler::preemption::VictimCache;
+use crate::scheduler::statistics::HeldBackTasks;
 use crate::store::Cache;
 use crate::wire::Priority;
 use crate::workers::machine::{Machine, MachineState};
@@ -34,14 +36,24 @@
 
 /// Causes that operators see for tasks that still wait after a pass.
 pub(super) mod waiting_cause {
+    /// Tasks of the job failed on the machine that has room.
+    pub(in crate::scheduler) const FAILED_THERE: &str = "failed on the machine with room";
     /// The job's attempts fail on every machine.
     pub(in crate::scheduler) const FAILS_EVERYWHERE: &str = "fails everywhere";
+    /// The heavy basket has reached its limit, so that heavy tasks take no machine from the pool.
+    pub(in crate::scheduler) const HEAVY_LIMIT: &str = "limit of the heavy basket";
+    /// Machines have room for a part of the gang only.
+    pub(in crate::scheduler) const INCOMPLETE_GANG: &str = "room for a part of the gang";
     /// The tasks are reserved on machines that are booting or about to be rented.
     pub(in crate::scheduler) const MACHINE_BOOTING: &str = "machine to come";
     /// The controllers cannot serve more machines.
     pub(in crate::scheduler) const MACHINE_LIMIT: &str = "controllers hold no more machines";
     /// No machine has enough free capacity, and no suitable machine can be rented.
     pub(in crate::scheduler) const NO_FREE_CAPACITY: &str = "no room";
+    /// The machine that has room belongs to the other basket.
+    pub(in crate::scheduler) const OTHER_BASKET: &str = "room in the other basket";
+    /// Tasks of higher priority left the machine that has room and may return.
+    pub(in crate::scheduler) const RECENTLY_VACATED: &str = "machine left by urgent work";
     /// The tasks failed and are retried after a backoff.
     pub(in crate::scheduler) const RETRY_BACKOFF: &str = "pause after a failure";
     /// The rate limit for starts of low-priority tasks is reached.
@@ -53,6 +65,18 @@
     pub(in crate::scheduler) const UNCONFIRMED_MACHINE: &str = "unconfirmed machine";
 }
 
+/// Returns the cause that operators see for tasks held back by an obstacle, if it is known.
+fn held_back_cause(obstacle: Obstacle) -> Option<&'static str> {
+    match obstacle {
+        Obstacle::JobFailedThere => Some(waiting_cause::FAILED_THERE),
+        Obstacle::RecentlyVacated => Some(waiting_cause::RECENTLY_VACATED),
+        Obstacle::OtherBasket => Some(waiting_cause::OTHER_BASKET),
+        Obstacle::HeavyLimit => Some(waiting_cause::HEAVY_LIMIT),
+        Obstacle::IncompleteGang => Some(waiting_cause::INCOMPLETE_GANG),
+        Obstacle::Unknown => None,
+    }
+}
+
 /// Delay before the next pass if time alone may change its outcome, in units of
 /// [`MIN_PASS_INTERVAL`].
 const RETRY_PASS_INTERVALS: u32 = 4;
@@ -126,6 +150,7 @@
     ) {
         self.record_group_waiting(&decision.tasks, &decision.placement);
         self.record_waiting(&decision);
+        self.record_held_back(&decision);
         let mut victims = VictimCache::default();
         self.start_planned(&mut decision, &mut victims, cache, now);
         let unplaced = self.unplaced_tasks(&mut decision);
@@ -147,6 +172,35 @@
         }
     }
 
+    /// Records which jobs wait beside a machine that has room, and counts their tasks under the
+    /// obstacle instead of missing capacity.
+    fn record_held_back(&mut self, decision: &PlanningDecision) {
+        self.statistics.held_back.clear();
+        let of_jobs = decision
+            .placement
+            .held_back
+            .iter()
+            .filter_map(|held| Some((held, decision.tasks.get(held.request.0)?)));
+        for (held, tasks) in of_jobs {
+            let machine = decision.machine_ids.get(held.bin.0).cloned().flatten();
+            let (Some(machine), Some(cause)) = (machine, held_back_cause(held.obstacle)) else {
+                continue;
+            };
+            let counts = &mut self.statistics.waiting_by_cause;
+            let general_cause = if held.booked {
+                waiting_cause::MACHINE_BOOTING
+            } else {
+                decision.unplaceable_cause
+            };
+            if let Some(count) = counts.get_mut(general_cause) {
+                *count = count.saturating_sub(u64::from(held.tasks));
+            }
+            self.statistics.add_waiting(cause, u64::from(held.tasks));
+            let held = HeldBackTasks { job: tasks.job.clone(), tasks: held.tasks, machine, cause };
+            self.statistics.held_back.push(held);
+        }
+    }
+
     fn rent(&self, decision: &PlanningDecision, cloud: &mut CloudClient, now: Instant) {
         for PendingRental { pool, count } in &decision.rentals {
             let machine_type = &self.fleet.machine_types[pool.machine_type].name;
--- a/src/scheduler/status.rs
+++ b/src/scheduler/status.rs
@@ -4,6 +4,7 @@
 use crate::ids::{Amount, JobId};
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
+use crate::scheduler::statistics::HeldBackTasks;
 use crate::scheduler::task_attempt::attempts_of;
 use crate::store::Cache;
 use crate::wire::TaskState;
@@ -111,6 +112,10 @@
             unforgotten,
             "counts"
         );
+        for held in &self.statistics.held_back {
+            let HeldBackTasks { job, tasks, machine, cause } = held;
+            tracing::info!(%job, tasks, %machine, cause, "tasks wait beside a machine with room");
+        }
         if let Some(demand) = self.demand_line(now) {
             tracing::info!(%demand, "demand by class and team");
         }
