A failure keeps a job off a machine for 30 s, then one task at a time is tried

A task of an array that may run in one zone fails once; it is never started again, beside a machine with 15 free CPUs on which the other tasks of the same job end well. Its user reads 'pending' for ever. A replica of a spread service that fails once stays down the same way.

Cause: a job avoided the machines on which it had failed, as long as they were one or two, for the whole term. Nothing ended that: no time, no success there, no lack of another machine.

Change: a suspicion ends by itself. Within 30 s of the last failure the job stays off the machine; then the machine is its last resort, for one task at a time and the one that failed least often first; a success of a task placed after the failure clears it. Why it works: each reason in the way of a start now has an end, either a time or the result of a task that runs.

A job that always fails makes one attempt per machine and 30 s.

--- a/src/placement/gang.rs
+++ b/src/placement/gang.rs
@@ -59,20 +59,23 @@
     }
 
     /// Returns the zone in which the most of the request's tasks fit on machines that are up; among
-    /// equal zones, the first.
+    /// equal zones, the one in which the most fit as a last resort, and then the first.
     pub(super) fn best_single_zone(&self, request: &PlacementRequest) -> Option<ZoneId> {
         let task_count = u64::from(request.count);
-        let fitting_tasks = |zone: &ZoneId| -> u64 {
+        let fitting_tasks = |zone: &ZoneId, is_last_resort: bool| -> u64 {
             let per_machine = self
                 .bins
                 .iter()
                 .filter(|bin| bin.ready && bin.zone == *zone)
                 .filter(|bin| request.allows(bin.zone, bin.machine_type, bin.spot))
                 .filter(|bin| bin.basket.is_none_or(|basket| basket == request.basket))
+                .filter(|bin| !request.excluded_machines.contains(&bin.index))
+                .filter(|bin| request.last_resort_machines.contains(&bin.index) == is_last_resort)
                 .map(|bin| max_copies(&bin.free, &request.resources).min(task_count));
             per_machine.sum::<u64>().min(task_count)
         };
         // `max_by_key` returns the last of equal zones, so the reversed order selects the first.
-        request.zone_limits.zones().rev().max_by_key(fitting_tasks)
+        let rank = |zone: &ZoneId| (fitting_tasks(zone, false), fitting_tasks(zone, true));
+        request.zone_limits.zones().rev().max_by_key(rank)
     }
 }
--- a/src/placement/model.rs
+++ b/src/placement/model.rs
@@ -137,8 +137,11 @@
     pub single_zone: bool,
     /// Container image of the tasks.
     pub image: u32,
-    /// Indices of machines on which tasks of this job failed.
+    /// Indices of machines on which no task may be placed, because tasks of this job failed there.
     pub excluded_machines: Vec<u64>,
+    /// Indices of machines on which tasks of this job failed longer ago. Only if no other machine
+    /// that is up has room, one task is placed on each of them, or any number of a gang's tasks.
+    pub last_resort_machines: Vec<u64>,
     /// True for a gang: either all tasks start together or none starts.
     pub gang: bool,
     /// Tightest objective for the start of a job of this class, in seconds.
--- a/src/placement/obstacle.rs
+++ b/src/placement/obstacle.rs
@@ -49,7 +49,9 @@
 fn obstacle(bin: &Bin, request: &PlacementRequest) -> Obstacle {
     if request.gang {
         Obstacle::IncompleteGang
-    } else if request.excluded_machines.contains(&bin.index) {
+    } else if request.excluded_machines.contains(&bin.index)
+        || request.last_resort_machines.contains(&bin.index)
+    {
         Obstacle::JobFailedThere
     } else if bin.recently_vacated && request.scale_out == ScaleOutPolicy::Spot {
         Obstacle::RecentlyVacated
--- a/src/placement/packing.rs
+++ b/src/placement/packing.rs
@@ -53,13 +53,12 @@
     on_demand: bool,
 }
 
-/// Tiers in order of filling: machines that are up before booting ones, spot before on-demand ones.
-const TIERS: [Tier; 4] = [
-    Tier { booting: false, on_demand: false },
-    Tier { booting: false, on_demand: true },
-    Tier { booting: true, on_demand: false },
-    Tier { booting: true, on_demand: true },
-];
+/// Tiers of machines that are up, in order of filling: spot before on-demand ones.
+const TIERS_UP: [Tier; 2] =
+    [Tier { booting: false, on_demand: false }, Tier { booting: false, on_demand: true }];
+/// The same tiers of booting machines, which are filled after all that are up.
+const TIERS_BOOTING: [Tier; 2] =
+    [Tier { booting: true, on_demand: false }, Tier { booting: true, on_demand: true }];
 
 /// Machines of a tier that are filled together; a basket of `None` stands for the pool.
 struct Stage {
@@ -102,6 +101,7 @@
     !request.gang
         && !request.single_zone
         && request.excluded_machines.is_empty()
+        && request.last_resort_machines.is_empty()
         && request.basket == Basket::Light
 }
 
@@ -172,7 +172,11 @@
         }
         let remaining = request.count;
         let mut allocation = Allocation { index, request, remaining, booked: 0, heavy_limit };
-        for tier in TIERS {
+        for tier in TIERS_UP {
+            self.fill_tier(&mut allocation, tier);
+        }
+        self.fill_last_resort(&mut allocation);
+        for tier in TIERS_BOOTING {
             self.fill_tier(&mut allocation, tier);
         }
         self.rent_machines(&mut allocation);
@@ -277,6 +281,31 @@
         }
     }
 
+    /// Assigns tasks to machines that are up and on which tasks of the job failed, in index order.
+    fn fill_last_resort(&mut self, allocation: &mut Allocation<'_>) {
+        for machine in allocation.request.last_resort_machines.clone() {
+            let found = self.bins.iter().position(|bin| bin.index == machine);
+            let Some(position) = found else { continue };
+            let bin = &self.bins[position];
+            let request = &mut *allocation.request;
+            if !bin.ready
+                || bin.basket.is_some_and(|basket| basket != request.basket)
+                || !request.allows(bin.zone, bin.machine_type, bin.spot)
+                || self.is_at_heavy_limit(allocation, self.bins[position].basket)
+                || !self.can_place_more(allocation)
+            {
+                continue;
+            }
+            let max_tasks = if allocation.request.gang { u32::MAX } else { 1 };
+            let placed = self.assign_up_to(max_tasks, allocation, BinIndex(position));
+            if placed > 0 && !allocation.request.gang {
+                // The heavy tasks that remain may be placed again in the same pass.
+                allocation.request.last_resort_machines.retain(|other| *other != machine);
+                allocation.request.excluded_machines.push(machine);
+            }
+        }
+    }
+
     fn rent_machines(&mut self, allocation: &mut Allocation<'_>) {
         while self.can_place_more(allocation) && !self.is_at_heavy_limit(allocation, None) {
             let Some(bin) = self.scale_out.rent(allocation.request, self.bins.len()) else {
@@ -288,23 +317,38 @@
         }
     }
 
-    /// Assigns to a machine as many tasks as fit and as the zone and team limits permit.
+    /// Assigns to a machine as many tasks as fit and as the zone and team limits permit, unless it
+    /// is a last resort.
     fn assign(&mut self, allocation: &mut Allocation<'_>, index: BinIndex) {
+        let bin = &self.bins[index.0];
+        if !allocation.request.last_resort_machines.contains(&bin.index) {
+            self.assign_up_to(u32::MAX, allocation, index);
+        }
+    }
+
+    /// Assigns to a machine at most `max_tasks` tasks and returns their number.
+    fn assign_up_to(
+        &mut self,
+        max_tasks: u32,
+        allocation: &mut Allocation<'_>,
+        index: BinIndex,
+    ) -> u32 {
         let request = &mut *allocation.request;
         let bin = &mut self.bins[index.0];
         let is_best_effort = request.scale_out == ScaleOutPolicy::Spot;
         if request.excluded_machines.contains(&bin.index)
             || (bin.recently_vacated && is_best_effort)
         {
-            return;
+            return 0;
         }
         let headroom = &mut self.team_headroom[request.team.index()];
         let fitting =
             max_copies(&bin.free, &request.resources).min(max_copies(headroom, &request.resources));
         let fitting = u32::try_from(fitting).unwrap_or(u32::MAX);
         let count = allocation.remaining.min(request.zone_limits.remaining(bin.zone)).min(fitting);
+        let count = count.min(max_tasks);
         if count == 0 {
-            return;
+            return 0;
         }
         let resources = request.resources.times(u64::from(count));
         if bin.basket.is_none() && request.basket == Basket::Heavy {
@@ -322,5 +366,6 @@
             allocation.booked += count;
         }
         self.capacity_index.update(index.0, bin);
+        count
     }
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -8,11 +8,16 @@
 use crate::wire::Priority;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use std::collections::BTreeSet;
 
 /// Returns the sort key by which machines are considered: up before booting, spot before on-demand,
 /// the own basket before the pool, machines with the image before the others, then the fixed index.
-/// For the highest priority the image takes precedence over the basket.
+/// For the highest priority the image takes precedence over the basket. Machines that are a last
+/// resort come after all others, by their index alone.
 fn preference(request: &PlacementRequest, bin: &Bin) -> impl Ord + use<> {
+    if request.last_resort_machines.contains(&bin.index) {
+        return (true, false, false, false, bin.index);
+    }
     let lacks_image = !bin.images.contains(&request.image);
     let in_pool = bin.basket.is_none();
     let (first, second) = if request.priority == Priority::Production {
@@ -20,7 +25,7 @@
     } else {
         (in_pool, lacks_image)
     };
-    (!bin.ready, !bin.spot, first, second, bin.index)
+    (false, !bin.spot, first, second, bin.index)
 }
 
 /// Reference implementation: places one task at a time and compares all machines for each.
@@ -68,6 +73,10 @@
                     headroom[request.team.index()].minus(&request.resources);
                 request.zone_limits.consume(bins[i].zone, 1);
                 request.count -= 1;
+                if !request.gang && request.last_resort_machines.contains(&bins[i].index) {
+                    // One task at a time.
+                    request.excluded_machines.push(bins[i].index);
+                }
                 starts.push(PlannedStart { request: RequestIndex(at), bin: BinIndex(i) });
             }
             if request.gang && request.count > 0 {
@@ -171,6 +180,12 @@
             .filter(|_| random.random_range(0..9) == 0)
             .map(shuffled_index)
             .collect(),
+        last_resort_machines: (0..machines)
+            .filter(|_| random.random_range(0..9) == 0)
+            .map(shuffled_index)
+            .collect::<BTreeSet<u64>>()
+            .into_iter()
+            .collect(),
         gang: random.random_range(0..4) == 0,
         start_slo_s: None,
         slo_slack_s: None,
@@ -221,6 +236,7 @@
         single_zone: false,
         image: 0,
         excluded_machines: vec![],
+        last_resort_machines: vec![],
         gang: false,
         start_slo_s: None,
         slo_slack_s: None,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -27,6 +27,7 @@
 mod runtime_prediction;
 mod statistics;
 mod status;
+mod suspected_machines;
 mod task_attempt;
 mod task_exit;
 mod term;
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -144,6 +144,36 @@
         self.requeued.extend(backing_off.into_iter().map(|expiry| expiry.task));
     }
 
+    /// Takes the next waiting task to start on a machine. On trial, that is the task that failed least often: a task
+    /// that always fails must not be the only one that is ever tried.
+    pub(super) fn next_task_on(
+        &mut self,
+        machine: &MachineId,
+        job: &LiveJob,
+        now: Instant,
+    ) -> Option<u32> {
+        let suspected = self.failures.suspected_machines();
+        let is_trial = self.failures.is_job_faulty()
+            || suspected.iter().any(|failure| failure.machine == *machine);
+        if !is_trial {
+            return self.next_task(job, now);
+        }
+        let mut requeued = std::mem::take(&mut self.requeued);
+        requeued.retain(|task| self.is_unplaced(job, *task));
+        let failed_least =
+            requeued.iter().copied().min_by_key(|task| (self.failure_count(*task), *task));
+        let next = match failed_least {
+            Some(task) if self.failure_count(task) == 0 => Some(task),
+            _ => self.next_task(job, now).or(failed_least),
+        };
+        self.requeued.extend(requeued.into_iter().filter(|task| Some(*task) != next));
+        next
+    }
+
+    fn failure_count(&self, task: u32) -> u32 {
+        self.retries.get(&task).map_or(0, |retry| retry.failures)
+    }
+
     /// Takes the next waiting task that may be started. Each task is examined once, plus once for each time it is
     /// requeued, regardless of the size of the job.
     pub(super) fn next_task(&mut self, job: &LiveJob, now: Instant) -> Option<u32> {
--- a/src/scheduler/placement_requests.rs
+++ b/src/scheduler/placement_requests.rs
@@ -65,6 +65,7 @@
             single_zone: spec.one_zone,
             image: self.fleet.image_ids.intern(&spec.image),
             excluded_machines: Vec::new(),
+            last_resort_machines: Vec::new(),
             gang: spec.kind == JobKind::Gang,
             start_slo_s: self.settings.tightest_start_objective(&spec.class),
             slo_slack_s: None,
@@ -113,7 +114,7 @@
         };
         let count = self.startable_tasks(id, job, max_tasks, context)?;
         request.count = u32::try_from(count).unwrap_or(u32::MAX);
-        self.apply_progress(&mut request, id, job)?;
+        self.apply_progress(&mut request, id, job, context.now)?;
         Some(request)
     }
 
@@ -153,6 +154,7 @@
         request: &mut PlacementRequest,
         id: &JobId,
         job: &LiveJob,
+        now: Instant,
     ) -> Option<()> {
         let spec = &job.spec;
         let progress = self.jobs.progress.get(id)?;
@@ -168,9 +170,7 @@
                 request.zone = Some(zone);
             }
         }
-        let index = |id| self.fleet.machines.get(id).map(|machine: &Machine| machine.index);
-        request.excluded_machines =
-            progress.failures.avoided_machines().iter().filter_map(index).collect();
+        self.exclude_suspected_machines(request, id, &progress.failures, now);
         if progress.failures.is_job_faulty() {
             // A trial of a job that fails everywhere uses existing free capacity only.
             request.scale_out = ScaleOutPolicy::Nothing;
@@ -250,6 +250,7 @@
                 single_zone: false,
                 image: u32::MAX,
                 excluded_machines: Vec::new(),
+                last_resort_machines: Vec::new(),
                 gang: false,
                 start_slo_s: None,
                 slo_slack_s: None,
--- a/src/scheduler/planning/demand.rs
+++ b/src/scheduler/planning/demand.rs
@@ -29,6 +29,9 @@
     pub(in crate::scheduler) fn take(&mut self, count: u32) -> JobRequest {
         let request = PlacementRequest { count, ..self.request.clone() };
         self.request.count -= count;
+        // The job tries one task at a time on a machine that is its last resort.
+        let last_resort = std::mem::take(&mut self.request.last_resort_machines);
+        self.request.excluded_machines.extend(last_resort);
         JobRequest { job: self.job.clone(), request, rank: self.rank }
     }
 }
@@ -46,17 +49,17 @@
 }
 
 impl WaitingTasks {
-    /// Returns all tasks of a request as waiting.
-    pub(super) fn of(job: &JobRequest) -> WaitingTasks {
+    /// Returns all tasks of a request as waiting. `has_succeeded` is true if one of the job's tasks
+    /// has succeeded: until then, no task is preempted where one of the job's tasks failed.
+    pub(super) fn of(job: &JobRequest, has_succeeded: bool) -> WaitingTasks {
         let request = &job.request;
         let may_preempt =
             request.priority <= Priority::High && request.scale_out == ScaleOutPolicy::Any;
-        WaitingTasks {
-            job: job.job.clone(),
-            remaining: request.count,
-            rank: job.rank,
-            preemptor: may_preempt.then(|| request.clone()),
+        let mut preemptor = may_preempt.then(|| request.clone());
+        if let Some(preemptor) = preemptor.as_mut().filter(|_| !has_succeeded) {
+            preemptor.excluded_machines.extend(&request.last_resort_machines);
         }
+        WaitingTasks { job: job.job.clone(), remaining: request.count, rank: job.rank, preemptor }
     }
 }
 
--- a/src/scheduler/planning/starts.rs
+++ b/src/scheduler/planning/starts.rs
@@ -59,8 +59,9 @@
                 continue;
             }
             let progress = self.jobs.progress.get_mut(job);
-            let next =
-                live.zip(progress).and_then(|(live, progress)| progress.next_task(live, now));
+            let next = live
+                .zip(progress)
+                .and_then(|(live, progress)| progress.next_task_on(id, live, now));
             let Some(index) = next else { continue };
             tasks.remaining = tasks.remaining.saturating_sub(1);
             let task = TaskId { job: job.clone(), index };
--- a/src/scheduler/reconciliation.rs
+++ b/src/scheduler/reconciliation.rs
@@ -340,6 +340,7 @@
         for id in successful {
             self.record_success(&id, now);
         }
+        self.forget_refuted_failures(now);
         if !summary.has_failing_machine {
             return;
         }
--- /dev/null
+++ b/src/scheduler/suspected_machines.rs
@@ -0,0 +1,89 @@
+//! Machines on which tasks of a job failed: how long the job avoids them, and what clears them.
+//!
+//! A suspected machine is avoided for a bounded time. Then it is the job's last resort, on which one task at a time is
+//! placed. The suspicion ends when a task that was placed there after the failure succeeds.
+
+use crate::ids::{JobId, MachineId};
+use crate::placement::PlacementRequest;
+use crate::scheduler::Scheduler;
+use crate::scheduler::reconciliation::SUCCESS_AFTER_RUNNING;
+use crate::scheduler::task_attempt::{TaskAttempt, attempts_of};
+use crate::wire::TaskState;
+use crate::workers::failure_attribution::FailureAttribution;
+use crate::workers::machine::PlacedAttempt;
+use tokio::time::Instant;
+
+/// A task that runs well on a machine on which tasks of its job failed before it was placed.
+struct RefutedFailure {
+    job: JobId,
+    machine: MachineId,
+    placed_at: Instant,
+}
+
+impl Scheduler {
+    /// Excludes the machines that a job avoids, and those on which a task that was placed after the last failure has
+    /// not succeeded yet. The other suspected machines are the request's last resort.
+    pub(super) fn exclude_suspected_machines(
+        &self,
+        request: &mut PlacementRequest,
+        job: &JobId,
+        failures: &FailureAttribution,
+        now: Instant,
+    ) {
+        for failure in failures.suspected_machines() {
+            let Some(machine) = self.fleet.machines.get(&failure.machine) else { continue };
+            let is_tried = |(_, attempt): (&TaskAttempt, &PlacedAttempt)| {
+                attempt.placed_at > failure.failed_at && attempt.state != TaskState::Exited
+            };
+            if failure.is_avoided(now) || machine.attempts.range(attempts_of(job)).any(is_tried) {
+                request.excluded_machines.push(machine.index);
+            } else {
+                request.last_resort_machines.push(machine.index);
+            }
+        }
+        request.last_resort_machines.sort_unstable();
+    }
+
+    /// Ends the suspicion of machines on which tasks that were placed after the last failure have run for
+    /// [`SUCCESS_AFTER_RUNNING`].
+    pub(super) fn forget_refuted_failures(&mut self, now: Instant) {
+        for RefutedFailure { job, machine, placed_at } in self.refuted_failures(now) {
+            self.record_success_on(&job, &machine, placed_at);
+        }
+    }
+
+    fn refuted_failures(&self, now: Instant) -> Vec<RefutedFailure> {
+        let mut refuted = Vec::new();
+        for (job, progress) in &self.jobs.progress {
+            for failure in progress.failures.machine_failures() {
+                let Some(machine) = self.fleet.machines.get(&failure.machine) else { continue };
+                let runs_well = |attempt: &&PlacedAttempt| {
+                    attempt.placed_at > failure.failed_at
+                        && attempt.state == TaskState::Running
+                        && attempt.running_since.is_some_and(|at| now >= at + SUCCESS_AFTER_RUNNING)
+                };
+                let mut attempts = machine.attempts.range(attempts_of(job));
+                if let Some((_, attempt)) = attempts.find(|(_, attempt)| runs_well(attempt)) {
+                    refuted.push(RefutedFailure {
+                        job: job.clone(),
+                        machine: failure.machine.clone(),
+                        placed_at: attempt.placed_at,
+                    });
+                }
+            }
+        }
+        refuted
+    }
+
+    /// Records that a task of a job that was placed on a machine at `placed_at` succeeded there.
+    pub(super) fn record_success_on(
+        &mut self,
+        job: &JobId,
+        machine: &MachineId,
+        placed_at: Instant,
+    ) {
+        if let Some(progress) = self.jobs.progress.get_mut(job) {
+            progress.failures.record_success_on(machine, placed_at);
+        }
+    }
+}
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -121,6 +121,11 @@
         progress.completing.insert(exit.task.index);
         self.jobs.completing.insert(job.clone());
         self.record_success(job, now);
+        let machine = self.fleet.machines.get(&exit.machine);
+        let entry = machine.and_then(|machine| machine.attempts.get(&exit.key()));
+        if let Some(placed_at) = entry.map(|entry| entry.placed_at) {
+            self.record_success_on(job, &exit.machine, placed_at);
+        }
     }
 
     /// Marks the exit as handled and returns whether the task was preempted for a job of higher priority. If the task
@@ -161,7 +166,7 @@
         let was_faulty = progress.failures.is_job_faulty();
         progress.failures.record_failure(&exit.machine, now);
         if progress.failures.is_job_faulty() && !was_faulty {
-            let machines = progress.failures.failed_machines().len();
+            let machines = progress.failures.machine_failures().len();
             tracing::info!(%job, machines, "job suspected to be faulty: fails on every machine, retrying with backoff");
         }
     }
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -12,3 +12,5 @@
 mod pacing;
 mod preemption;
 mod runtime_prediction;
+mod simulated_workers;
+mod suspected_machines;
--- /dev/null
+++ b/src/scheduler/tests/suspected_machines.rs
@@ -0,0 +1,195 @@
+//! Suspected machines: no task waits for ever beside a machine on which tasks of its job failed.
+
+use super::simulated_workers::SimulatedCluster;
+use crate::ids::{JobId, TaskId};
+use crate::jobs::fixtures::job_spec;
+use crate::wire::{JobKind, JobSpec};
+use crate::workers::failure_attribution::MACHINE_AVOIDANCE;
+use std::time::Duration;
+
+/// Time within which a task has to start beside free capacity once the trouble is over.
+const MAX_WAIT: Duration = Duration::from_secs(90);
+/// Time for which the simulated days go on; all failures happen well before.
+const DAY: Duration = Duration::from_secs(400);
+
+/// The machines beside the one on which the job has to run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum OtherMachine {
+    None,
+    Free,
+    Full,
+    /// Requested from the cloud, which never answers.
+    ToCome,
+}
+
+/// The constraint that binds the job to its machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Constraint {
+    None,
+    Zone,
+    OneZone,
+    Spread,
+}
+
+/// One small cluster with a job of which some attempts fail.
+#[derive(Debug)]
+struct Case {
+    other: OtherMachine,
+    kind: JobKind,
+    constraint: Constraint,
+    tasks: u32,
+    /// Bit n is set if the first attempts at task n fail.
+    failing: u32,
+    /// Number of attempts at each of these tasks that fail.
+    failures: u32,
+}
+
+impl Case {
+    fn all() -> Vec<Case> {
+        let mut cases = Vec::new();
+        for other in
+            [OtherMachine::None, OtherMachine::Free, OtherMachine::Full, OtherMachine::ToCome]
+        {
+            for kind in [JobKind::Array, JobKind::Service, JobKind::Gang] {
+                for constraint in
+                    [Constraint::None, Constraint::Zone, Constraint::OneZone, Constraint::Spread]
+                {
+                    for tasks in 1..=3 {
+                        for (failing, failures) in
+                            (1..1 << tasks).flat_map(|failing| [(failing, 1), (failing, 2)])
+                        {
+                            cases.push(Case { other, kind, constraint, tasks, failing, failures });
+                        }
+                    }
+                }
+            }
+        }
+        cases.retain(Case::fits);
+        cases
+    }
+
+    /// Returns whether the constraints leave room for all tasks at once.
+    fn fits(&self) -> bool {
+        let has_two_zones = self.other == OtherMachine::Free;
+        self.constraint != Constraint::Spread || self.tasks == 1 || has_two_zones
+    }
+
+    fn spec(&self) -> JobSpec {
+        JobSpec {
+            kind: self.kind,
+            cpus: 4.0,
+            ram_gb: 4.0,
+            spot: false,
+            zone: (self.constraint == Constraint::Zone).then(|| "a".into()),
+            one_zone: self.constraint == Constraint::OneZone,
+            spread: self.constraint == Constraint::Spread,
+            ..job_spec("wk-1", u64::from(self.tasks))
+        }
+    }
+
+    /// Returns the cluster before the job arrives.
+    fn cluster(&self) -> SimulatedCluster {
+        let mut cluster = SimulatedCluster::new();
+        if matches!(self.other, OtherMachine::Free | OtherMachine::Full) {
+            cluster.add_worker("b", "i-2");
+        }
+        if self.other == OtherMachine::Full {
+            let whole_machine = JobSpec {
+                kind: JobKind::Service,
+                cpus: 16.0,
+                ram_gb: 64.0,
+                spot: false,
+                ..job_spec("wk-0", 1)
+            };
+            cluster.forbid_rentals();
+            cluster.leader.accept(whole_machine);
+            cluster.run_for(Duration::from_secs(5));
+            assert!(cluster.is_served(&JobId::new("wk-0"), 1));
+        }
+        cluster.add_worker("a", "i-1");
+        if self.other == OtherMachine::ToCome {
+            cluster.leader.scheduler.fleet.listed_once = true;
+        } else {
+            cluster.forbid_rentals();
+        }
+        cluster.run_for(Duration::from_secs(5));
+        cluster
+    }
+
+    /// Plays the case and returns the longest time for which the job was not served after the last failure.
+    fn longest_wait(&self) -> Duration {
+        let mut cluster = self.cluster();
+        let job = cluster.leader.accept(self.spec());
+        if self.kind == JobKind::Array {
+            cluster.run_times.insert(job.clone(), Duration::from_secs(4));
+        }
+        if self.kind == JobKind::Gang {
+            cluster.gangs.insert(job.clone());
+        }
+        for index in (0..self.tasks).filter(|index| self.failing & 1 << index != 0) {
+            let task = TaskId { job: job.clone(), index };
+            cluster.failures_left.insert(task, self.failures);
+        }
+        let (mut longest, end) = (Duration::ZERO, cluster.leader.now + DAY);
+        while cluster.leader.now < end {
+            cluster.step();
+            let trouble_is_over = cluster.failures_left.values().all(|left| *left == 0);
+            let is_served = cluster.is_served(&job, self.tasks);
+            if trouble_is_over && !is_served {
+                longest = longest.max(cluster.leader.now - cluster.last_failure);
+            }
+        }
+        let is_tried = cluster.failures_left.values().all(|left| *left == 0);
+        if is_tried { longest } else { DAY }
+    }
+}
+
+/// A task that failed once was never started again if the only machine with room was the one on which it had failed.
+#[test]
+fn failed_tasks_start_again_beside_free_capacity_in_every_small_cluster() {
+    let cases = Case::all();
+    assert!(cases.len() > 700, "{}", cases.len());
+    let left_waiting: Vec<String> = cases
+        .iter()
+        .map(|case| (case.longest_wait(), case))
+        .filter(|(wait, _)| *wait > MAX_WAIT)
+        .map(|(wait, case)| format!("{wait:?} {case:?}"))
+        .collect();
+    assert!(
+        left_waiting.is_empty(),
+        "{} of {}: {left_waiting:#?}",
+        left_waiting.len(),
+        cases.len()
+    );
+}
+
+/// A job that always fails must not occupy a machine that is its last resort with one attempt after another.
+#[test]
+fn job_that_always_fails_tries_its_last_resort_once_per_avoidance() {
+    for workers in 1..=2 {
+        let mut cluster = SimulatedCluster::new();
+        ["i-1", "i-2"][..workers].iter().for_each(|name| cluster.add_worker("a", name));
+        cluster.forbid_rentals();
+        let job = cluster.leader.job("wk-1", JobKind::Array, 4);
+        for index in 0..4 {
+            cluster.failures_left.insert(TaskId { job: job.clone(), index }, u32::MAX);
+        }
+        cluster.run_for(DAY);
+        let starts: u32 = cluster.starts.values().sum();
+        let trials = DAY.div_duration_f64(MACHINE_AVOIDANCE).ceil() as u32 * workers as u32;
+        assert!((8..=4 * workers as u32 + trials).contains(&starts), "{workers}: {starts}");
+    }
+}
+
+/// A task that always fails must not be the only one that is tried: the others of its job would wait for ever.
+#[test]
+fn tasks_of_a_job_are_tried_in_turn() {
+    let mut cluster = SimulatedCluster::new();
+    cluster.add_worker("a", "i-1");
+    cluster.forbid_rentals();
+    let job = cluster.leader.job("wk-1", JobKind::Array, 12);
+    cluster.run_times.insert(job.clone(), Duration::from_secs(4));
+    cluster.failures_left.insert(TaskId { job: job.clone(), index: 0 }, u32::MAX);
+    cluster.run_for(DAY);
+    assert_eq!(cluster.completed.len(), 11);
+}
--- a/src/workers/failure_attribution.rs
+++ b/src/workers/failure_attribution.rs
@@ -4,6 +4,9 @@
 //! recorded per job with the machines on which they occurred, and count against a machine only once the job has
 //! succeeded elsewhere. Until then, failures on several machines are attributed to the job, and its tasks are tried one
 //! at a time.
+//!
+//! A failure keeps the job off the machine for a bounded time. From then on the machine is its last resort, where one
+//! task at a time is tried; when that task succeeds, the failure is forgotten.
 
 use crate::constants::{INITIAL_TASK_BACKOFF, MACHINE_FAULT_JOBS, MAX_TASK_BACKOFF};
 use crate::ids::MachineId;
@@ -14,6 +17,25 @@
 /// job: more machines are rarely faulty at the same time.
 pub const JOB_FAULT_MACHINES: usize = 3;
 
+/// Time after a failure during which the job's tasks stay off the machine. It leaves time to find another one.
+pub const MACHINE_AVOIDANCE: Duration = MAX_TASK_BACKOFF;
+
+/// The last failure of a job's tasks on a machine.
+#[derive(Debug, Clone)]
+pub struct MachineFailure {
+    /// The machine.
+    pub machine: MachineId,
+    /// Time at which the last failure was reported.
+    pub failed_at: Instant,
+}
+
+impl MachineFailure {
+    /// Returns whether the job's tasks still stay off the machine, rather than use it as a last resort.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        now < self.failed_at + MACHINE_AVOIDANCE
+    }
+}
+
 /// Next trial of a job that fails everywhere.
 #[derive(Debug, Clone, Copy)]
 struct Trial {
@@ -25,8 +47,8 @@
 /// Failures and successes of one job.
 #[derive(Debug, Default)]
 pub struct FailureAttribution {
-    /// Machines on which its tasks failed.
-    failed_machines: Vec<MachineId>,
+    /// Machines on which its tasks failed and none that was placed later succeeded.
+    machine_failures: Vec<MachineFailure>,
     /// True if one of its tasks completed, or ran for a while.
     has_succeeded: bool,
     /// Next trial; set while its failures are attributed to the job.
@@ -36,8 +58,11 @@
 impl FailureAttribution {
     /// Records that one of its tasks failed on a machine.
     pub fn record_failure(&mut self, machine: &MachineId, now: Instant) {
-        if !self.failed_machines.contains(machine) {
-            self.failed_machines.push(machine.clone());
+        match self.machine_failures.iter_mut().find(|known| known.machine == *machine) {
+            Some(known) => known.failed_at = now,
+            None => self
+                .machine_failures
+                .push(MachineFailure { machine: machine.clone(), failed_at: now }),
         }
         // A task that fails before the next trial is due was started before the last failure: it is not a trial.
         if self.is_job_faulty() && self.trial.is_none_or(|trial| now >= trial.due) {
@@ -55,6 +80,13 @@
         was_faulty
     }
 
+    /// Records that a task that was placed on a machine at `placed_at` succeeded there. Failures before that no longer
+    /// keep the job off the machine.
+    pub fn record_success_on(&mut self, machine: &MachineId, placed_at: Instant) {
+        self.machine_failures
+            .retain(|failure| failure.machine != *machine || failure.failed_at >= placed_at);
+    }
+
     /// Returns whether one of its tasks has succeeded, so that a failure is attributed to the machine.
     pub fn has_succeeded(&self) -> bool {
         self.has_succeeded
@@ -62,12 +94,12 @@
 
     /// Returns whether its tasks have failed and none has succeeded so far.
     pub fn is_undecided(&self) -> bool {
-        !self.has_succeeded && !self.failed_machines.is_empty()
+        !self.has_succeeded && !self.machine_failures.is_empty()
     }
 
     /// Returns whether its failures are attributed to the job.
     pub fn is_job_faulty(&self) -> bool {
-        !self.has_succeeded && self.failed_machines.len() >= JOB_FAULT_MACHINES
+        !self.has_succeeded && self.machine_failures.len() >= JOB_FAULT_MACHINES
     }
 
     /// Returns the number of tasks that may start while `placed` others are placed: any number, or one at a time for a
@@ -81,14 +113,15 @@
         }
     }
 
-    /// Returns the machines on which its tasks failed.
-    pub fn failed_machines(&self) -> &[MachineId] {
-        &self.failed_machines
+    /// Returns the machines on which its tasks failed and none that was placed later succeeded.
+    pub fn machine_failures(&self) -> &[MachineFailure] {
+        &self.machine_failures
     }
 
-    /// Returns the machines that its tasks avoid: those on which they failed, or none above [`MACHINE_FAULT_JOBS`].
-    pub fn avoided_machines(&self) -> &[MachineId] {
-        if self.failed_machines.len() > MACHINE_FAULT_JOBS { &[] } else { &self.failed_machines }
+    /// Returns the machines that its tasks avoid or use as a last resort: those on which they failed, or none above
+    /// [`MACHINE_FAULT_JOBS`].
+    pub fn suspected_machines(&self) -> &[MachineFailure] {
+        if self.machine_failures.len() > MACHINE_FAULT_JOBS { &[] } else { &self.machine_failures }
     }
 }
 
