A machine found faulty that can't go back is tried with one task after 45 s

What callers saw: nothing yet; found by going through what holds a task back. A job bound to a zone waits for ever beside free capacity: two jobs failed once on the zone's only machine and did well elsewhere, so the machine counts as faulty and takes no task; a replica runs there, so it is never empty and never goes back.

The mark 'faulty' was never taken back, neither by time nor by a task that does well there.

Change: from 45 s after the last failure on a faulty machine, one task is placed there if no other machine that is up has room; while it runs no other one. A success of a task that was placed after the last failure clears the machine, a failure begins the 45 s anew. When a machine is found faulty is unchanged, and that is logged now. Consolidation and drains move nothing to such a machine.

A machine that goes on failing gets at most one start per 45 s with eight tasks waiting for it.

--- a/src/placement/gang.rs
+++ b/src/placement/gang.rs
@@ -1,7 +1,7 @@
 //! Placement of gangs and of requests whose tasks must all run in one zone.
 
 use super::basket::Basket;
-use super::model::{Bin, PlacementRequest, RequestIndex, ZoneLimits, max_copies};
+use super::model::{Bin, BinIndex, PlacementRequest, RequestIndex, ZoneLimits, max_copies};
 use super::packing::Packer;
 use crate::ids::{Amount, ZoneId};
 
@@ -12,6 +12,7 @@
     starts: usize,
     zone_limits: ZoneLimits,
     zone: Option<ZoneId>,
+    last_resort_bins: Vec<BinIndex>,
 }
 
 impl Packer {
@@ -30,6 +31,7 @@
             starts: self.plan.starts.len(),
             zone_limits: request.zone_limits.clone(),
             zone: request.zone,
+            last_resort_bins: self.last_resort_bins.clone(),
         };
         let remaining = self.place_tasks(index, request, heavy_limit);
         let started = self.plan.starts.len() - before.starts;
@@ -47,6 +49,7 @@
         request.zone_limits = before.zone_limits;
         request.zone = before.zone;
         self.team_headroom = before.team_headroom;
+        self.last_resort_bins = before.last_resort_bins;
         for (i, previous) in before.bins.into_iter().enumerate() {
             let bin = &mut self.bins[i];
             if bin.ready && (bin.free, bin.basket) != (previous.free, previous.basket) {
@@ -70,7 +73,10 @@
                 .filter(|bin| request.allows(bin.zone, bin.machine_type, bin.spot))
                 .filter(|bin| bin.basket.is_none_or(|basket| basket == request.basket))
                 .filter(|bin| !request.excluded_machines.contains(&bin.index))
-                .filter(|bin| request.last_resort_machines.contains(&bin.index) == is_last_resort)
+                .filter(|bin| {
+                    is_last_resort
+                        == (bin.last_resort || request.last_resort_machines.contains(&bin.index))
+                })
                 .map(|bin| max_copies(&bin.free, &request.resources).min(task_count));
             per_machine.sum::<u64>().min(task_count)
         };
--- a/src/placement/model.rs
+++ b/src/placement/model.rs
@@ -38,6 +38,9 @@
     /// True if tasks of higher priority left the machine recently and may return, so that no
     /// best-effort task is placed on it.
     pub recently_vacated: bool,
+    /// True if the machine may be faulty. Only if no other machine that is up has room, one task is
+    /// placed on it, or any number of one gang's tasks.
+    pub last_resort: bool,
 }
 
 impl Bin {
@@ -56,6 +59,7 @@
             ready: false,
             images: Images::default(),
             recently_vacated: false,
+            last_resort: false,
         }
     }
 }
@@ -233,6 +237,8 @@
 pub enum Obstacle {
     /// Tasks of the job failed on the machine.
     JobFailedThere,
+    /// The machine may be faulty, and another task was placed on it or is still to be tried there.
+    FaultyMachine,
     /// Tasks of higher priority left the machine recently and may return.
     RecentlyVacated,
     /// The machine belongs to the other basket.
--- a/src/placement/obstacle.rs
+++ b/src/placement/obstacle.rs
@@ -53,6 +53,8 @@
         || request.last_resort_machines.contains(&bin.index)
     {
         Obstacle::JobFailedThere
+    } else if bin.last_resort {
+        Obstacle::FaultyMachine
     } else if bin.recently_vacated && request.scale_out == ScaleOutPolicy::Spot {
         Obstacle::RecentlyVacated
     } else if bin.basket.is_some_and(|basket| basket != request.basket) {
--- a/src/placement/packing.rs
+++ b/src/placement/packing.rs
@@ -18,6 +18,10 @@
     let mut packer = Packer {
         capacity_index: CapacityIndex::new(&bins),
         image_index: ImageIndex::new(&bins, &requests),
+        last_resort_bins: (0..bins.len())
+            .map(BinIndex)
+            .filter(|index| bins[index.0].last_resort)
+            .collect(),
         heavy_machines: bins.iter().filter(|bin| bin.basket == Some(Basket::Heavy)).count(),
         bins,
         scale_out: ScaleOut::new(offers, rental_limit),
@@ -40,6 +44,8 @@
     pub(super) team_headroom: Vec<Amount>,
     pub(super) heavy_machines: usize,
     heavy_limit: usize,
+    /// Machines that may be faulty and on which no task was placed in this pass.
+    pub(super) last_resort_bins: Vec<BinIndex>,
     /// Requests that could not be placed completely. Free capacity only shrinks within a pass, so no
     /// search is made for equivalent requests; users submit hundreds of equal small jobs.
     unsatisfied: Vec<PlacementRequest>,
@@ -281,31 +287,52 @@
         }
     }
 
-    /// Assigns tasks to machines that are up and on which tasks of the job failed, in index order.
+    /// Assigns tasks to machines that are a last resort, in index order: those on which tasks of the
+    /// job failed, and those that may be faulty.
     fn fill_last_resort(&mut self, allocation: &mut Allocation<'_>) {
-        for machine in allocation.request.last_resort_machines.clone() {
-            let found = self.bins.iter().position(|bin| bin.index == machine);
-            let Some(position) = found else { continue };
-            let bin = &self.bins[position];
-            let request = &mut *allocation.request;
+        for index in self.last_resort_bins_of(allocation.request) {
+            let bin = &self.bins[index.0];
+            let request = &*allocation.request;
             if !bin.ready
                 || bin.basket.is_some_and(|basket| basket != request.basket)
                 || !request.allows(bin.zone, bin.machine_type, bin.spot)
-                || self.is_at_heavy_limit(allocation, self.bins[position].basket)
+                || self.is_at_heavy_limit(allocation, bin.basket)
                 || !self.can_place_more(allocation)
             {
                 continue;
             }
-            let max_tasks = if allocation.request.gang { u32::MAX } else { 1 };
-            let placed = self.assign_up_to(max_tasks, allocation, BinIndex(position));
-            if placed > 0 && !allocation.request.gang {
-                // The heavy tasks that remain may be placed again in the same pass.
-                allocation.request.last_resort_machines.retain(|other| *other != machine);
-                allocation.request.excluded_machines.push(machine);
+            let max_tasks = if request.gang { u32::MAX } else { 1 };
+            if self.assign_up_to(max_tasks, allocation, index) > 0 {
+                self.record_trial(allocation.request, index);
             }
         }
     }
 
+    /// Returns the machines that are a last resort for a request, in index order.
+    fn last_resort_bins_of(&self, request: &PlacementRequest) -> Vec<BinIndex> {
+        let mut found = self.last_resort_bins.clone();
+        if !request.last_resort_machines.is_empty() {
+            let is_own = |index: &BinIndex| {
+                let bin = &self.bins[index.0];
+                !bin.last_resort && request.last_resort_machines.contains(&bin.index)
+            };
+            found.extend((0..self.bins.len()).map(BinIndex).filter(is_own));
+        }
+        found.sort_by_key(|index| self.bins[index.0].index);
+        found
+    }
+
+    /// Keeps other tasks off a machine on which a task was placed as a last resort. The heavy tasks
+    /// that remain may be placed again in the same pass.
+    fn record_trial(&mut self, request: &mut PlacementRequest, index: BinIndex) {
+        self.last_resort_bins.retain(|bin| *bin != index);
+        if !request.gang {
+            let machine = self.bins[index.0].index;
+            request.last_resort_machines.retain(|other| *other != machine);
+            request.excluded_machines.push(machine);
+        }
+    }
+
     fn rent_machines(&mut self, allocation: &mut Allocation<'_>) {
         while self.can_place_more(allocation) && !self.is_at_heavy_limit(allocation, None) {
             let Some(bin) = self.scale_out.rent(allocation.request, self.bins.len()) else {
@@ -321,7 +348,7 @@
     /// is a last resort.
     fn assign(&mut self, allocation: &mut Allocation<'_>, index: BinIndex) {
         let bin = &self.bins[index.0];
-        if !allocation.request.last_resort_machines.contains(&bin.index) {
+        if !bin.last_resort && !allocation.request.last_resort_machines.contains(&bin.index) {
             self.assign_up_to(u32::MAX, allocation, index);
         }
     }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -8,14 +8,18 @@
 use crate::wire::Priority;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn is_last_resort(request: &PlacementRequest, bin: &Bin) -> bool {
+    bin.last_resort || request.last_resort_machines.contains(&bin.index)
+}
 
 /// Returns the sort key by which machines are considered: up before booting, spot before on-demand,
 /// the own basket before the pool, machines with the image before the others, then the fixed index.
 /// For the highest priority the image takes precedence over the basket. Machines that are a last
 /// resort come after all others, by their index alone.
 fn preference(request: &PlacementRequest, bin: &Bin) -> impl Ord + use<> {
-    if request.last_resort_machines.contains(&bin.index) {
+    if is_last_resort(request, bin) {
         return (true, false, false, false, bin.index);
     }
     let lacks_image = !bin.images.contains(&request.image);
@@ -36,16 +40,20 @@
     let mut waiting = Vec::new();
     let mut light_tasks_wait = false;
     let mut requests = input.requests.clone();
+    // The request that tried each machine that is a last resort for all.
+    let mut tried: BTreeMap<usize, usize> = BTreeMap::new();
     for round in 0..2 {
         for (at, request) in requests.iter_mut().enumerate() {
             if round == 1 && (light_tasks_wait || !waiting.contains(&at)) {
                 continue;
             }
-            let before = (bins.clone(), headroom.clone(), starts.len(), request.clone());
+            let before =
+                (bins.clone(), headroom.clone(), starts.len(), request.clone(), tried.clone());
             while request.count > 0 {
                 let heavy = bins.iter().filter(|b| b.basket == Some(Basket::Heavy)).count();
                 let at_heavy_limit = round == 0 && heavy >= input.heavy_limit;
-                let is_eligible = |b: &Bin| {
+                let is_eligible = |i: usize| {
+                    let b = &bins[i];
                     b.ready
                         && (!b.spot || request.allows_spot)
                         && request.zone.is_none_or(|z| z == b.zone)
@@ -57,6 +65,7 @@
                         && request.resources.fits(&headroom[request.team.index()])
                         && request.zone_limits.remaining(b.zone) > 0
                         && !request.excluded_machines.contains(&b.index)
+                        && tried.get(&i).is_none_or(|by| request.gang && *by == at)
                         && (request.scale_out != ScaleOutPolicy::Spot || !b.recently_vacated)
                         && match b.basket {
                             Some(basket) => basket == request.basket,
@@ -64,7 +73,7 @@
                         }
                 };
                 let best = (0..bins.len())
-                    .filter(|&i| is_eligible(&bins[i]))
+                    .filter(|&i| is_eligible(i))
                     .min_by_key(|&i| preference(request, &bins[i]));
                 let Some(i) = best else { break };
                 bins[i].free = bins[i].free.minus(&request.resources);
@@ -73,15 +82,18 @@
                     headroom[request.team.index()].minus(&request.resources);
                 request.zone_limits.consume(bins[i].zone, 1);
                 request.count -= 1;
-                if !request.gang && request.last_resort_machines.contains(&bins[i].index) {
+                if !request.gang && is_last_resort(request, &bins[i]) {
                     // One task at a time.
                     request.excluded_machines.push(bins[i].index);
                 }
+                if bins[i].last_resort {
+                    tried.insert(i, at);
+                }
                 starts.push(PlannedStart { request: RequestIndex(at), bin: BinIndex(i) });
             }
             if request.gang && request.count > 0 {
                 starts.truncate(before.2);
-                (bins, headroom, *request) = (before.0, before.1, before.3);
+                (bins, headroom, *request, tried) = (before.0, before.1, before.3, before.4);
             }
             if round == 0 && request.count > 0 {
                 waiting.push(at);
@@ -155,6 +167,7 @@
         ready: true,
         images: (0..3u32).filter(|_| random.random()).collect(),
         recently_vacated: random.random(),
+        last_resort: random.random_range(0..9) == 0,
     }
 }
 
@@ -300,6 +313,7 @@
         ready: true,
         images: Images::default(),
         recently_vacated: false,
+        last_resort: false,
     };
     let rented = |rental_limit: u32| {
         let input = PlacementInput {
--- a/src/scheduler/consolidation.rs
+++ b/src/scheduler/consolidation.rs
@@ -154,7 +154,8 @@
     }
 
     fn least_used_first(&self, bins: &[Bin]) -> Vec<usize> {
-        let is_candidate = |i: &usize| bins[*i].ready && bins[*i].basket.is_some();
+        let is_candidate =
+            |i: &usize| bins[*i].ready && !bins[*i].last_resort && bins[*i].basket.is_some();
         let mut order: Vec<usize> = (0..bins.len()).filter(is_candidate).collect();
         order.sort_by_key(|&i| (self.used_cpu(&bins[i]), bins[i].spot, Reverse(bins[i].index)));
         order
@@ -288,8 +289,9 @@
     /// Returns the bins that tasks may move to, by their index.
     fn targets(&self) -> BTreeMap<u64, MoveTarget> {
         let basket = self.bins[self.source].basket;
-        let is_target =
-            |(i, bin): &(usize, &Bin)| *i != self.source && bin.ready && bin.basket == basket;
+        let is_target = |(i, bin): &(usize, &Bin)| {
+            *i != self.source && bin.ready && !bin.last_resort && bin.basket == basket
+        };
         let targets = self.bins.iter().enumerate().filter(is_target);
         targets.map(|(bin, b)| (b.index, MoveTarget { bin, free: b.free })).collect()
     }
--- a/src/scheduler/drains.rs
+++ b/src/scheduler/drains.rs
@@ -200,6 +200,7 @@
         let allowed = |bin: &Bin| {
             let zone = bin.zone.index();
             bin.ready
+                && !bin.last_resort
                 && self.allows_bin(spec, bin)
                 && (!spec.spread || others_in_zone[zone] < max_per_zone)
                 // A job that has to be in one zone stays in that zone as long as any of its tasks does.
--- a/src/scheduler/planning.rs
+++ b/src/scheduler/planning.rs
@@ -40,6 +40,8 @@
     pub(in crate::scheduler) const FAILED_THERE: &str = "failed on the machine with room";
     /// The job's attempts fail on every machine.
     pub(in crate::scheduler) const FAILS_EVERYWHERE: &str = "fails everywhere";
+    /// The machine that has room may be faulty.
+    pub(in crate::scheduler) const FAULTY_MACHINE: &str = "machine suspected to be faulty";
     /// The heavy basket has reached its limit, so that heavy tasks take no machine from the pool.
     pub(in crate::scheduler) const HEAVY_LIMIT: &str = "limit of the heavy basket";
     /// Machines have room for a part of the gang only.
@@ -69,6 +71,7 @@
 fn held_back_cause(obstacle: Obstacle) -> Option<&'static str> {
     match obstacle {
         Obstacle::JobFailedThere => Some(waiting_cause::FAILED_THERE),
+        Obstacle::FaultyMachine => Some(waiting_cause::FAULTY_MACHINE),
         Obstacle::RecentlyVacated => Some(waiting_cause::RECENTLY_VACATED),
         Obstacle::OtherBasket => Some(waiting_cause::OTHER_BASKET),
         Obstacle::HeavyLimit => Some(waiting_cause::HEAVY_LIMIT),
@@ -195,6 +198,7 @@
             if let Some(count) = counts.get_mut(general_cause) {
                 *count = count.saturating_sub(u64::from(held.tasks));
             }
+            counts.retain(|_, count| *count > 0);
             self.statistics.add_waiting(cause, u64::from(held.tasks));
             let held = HeldBackTasks { job: tasks.job.clone(), tasks: held.tasks, machine, cause };
             self.statistics.held_back.push(held);
--- a/src/scheduler/planning/fleet_view.rs
+++ b/src/scheduler/planning/fleet_view.rs
@@ -220,6 +220,7 @@
                 recently_vacated: machine
                     .vacated_at
                     .is_some_and(|at| now < at + VACATED_MACHINE_COOLDOWN),
+                last_resort: machine.faulty,
             });
             machines.ids.push(Some(machine.id.clone()));
         }
@@ -246,7 +247,7 @@
     machine.state == MachineState::Up
         && (!emptying || machine.is_empty())
         && machine.reclaim_at.is_none()
-        && !machine.faulty
+        && (!machine.faulty || machine.may_be_tried(now))
         && machine.last_heartbeat.is_some()
         && machine.time_since_heartbeat(now) < silence_limit
 }
--- a/src/scheduler/reconciliation.rs
+++ b/src/scheduler/reconciliation.rs
@@ -341,6 +341,7 @@
             self.record_success(&id, now);
         }
         self.forget_refuted_failures(now);
+        self.clear_refuted_machines(now);
         if !summary.has_failing_machine {
             return;
         }
@@ -355,8 +356,12 @@
                     .get(*id)
                     .is_some_and(|progress| progress.failures.has_succeeded()),
             };
+            let was_faulty = machine.faulty;
             machine.faulty =
                 machine.failed_jobs.iter().filter(succeeds_elsewhere).count() >= MACHINE_FAULT_JOBS;
+            if machine.faulty && !was_faulty {
+                tracing::info!(machine = %machine.id, "machine suspected to be faulty, avoided");
+            }
         }
     }
 
--- a/src/scheduler/suspected_machines.rs
+++ b/src/scheduler/suspected_machines.rs
@@ -10,7 +10,7 @@
 use crate::scheduler::task_attempt::{TaskAttempt, attempts_of};
 use crate::wire::TaskState;
 use crate::workers::failure_attribution::FailureAttribution;
-use crate::workers::machine::PlacedAttempt;
+use crate::workers::machine::{Machine, PlacedAttempt};
 use tokio::time::Instant;
 
 /// A task that runs well on a machine on which tasks of its job failed before it was placed.
@@ -82,8 +82,34 @@
         machine: &MachineId,
         placed_at: Instant,
     ) {
+        self.clear_faulty_machine(machine, placed_at);
         if let Some(progress) = self.jobs.progress.get_mut(job) {
             progress.failures.record_success_on(machine, placed_at);
         }
     }
+
+    /// Ends the suspicion of faulty machines on which a task that was placed after the last failure has run for
+    /// [`SUCCESS_AFTER_RUNNING`].
+    pub(super) fn clear_refuted_machines(&mut self, now: Instant) {
+        let machines = self.fleet.machines.values_mut().filter(|machine| machine.faulty);
+        for machine in machines {
+            if machine.has_run_since_failure(SUCCESS_AFTER_RUNNING, now) {
+                clear_faults(machine);
+            }
+        }
+    }
+
+    fn clear_faulty_machine(&mut self, machine: &MachineId, placed_at: Instant) {
+        let machine = self.fleet.machines.get_mut(machine).filter(|machine| machine.faulty);
+        if let Some(machine) = machine
+            && machine.last_failure.is_some_and(|failed_at| placed_at > failed_at)
+        {
+            clear_faults(machine);
+        }
+    }
+}
+
+fn clear_faults(machine: &mut Machine) {
+    tracing::info!(machine = %machine.id, "machine no longer suspected");
+    machine.clear_faults();
 }
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -161,6 +161,7 @@
         let job = &exit.task.job;
         if let Some(machine) = self.fleet.machines.get_mut(&exit.machine) {
             machine.failed_jobs.insert(job.clone());
+            machine.last_failure = Some(now);
         }
         let Some(progress) = self.jobs.progress.get_mut(job) else { return };
         let was_faulty = progress.failures.is_job_faulty();
--- a/src/scheduler/tests/simulated_workers.rs
+++ b/src/scheduler/tests/simulated_workers.rs
@@ -26,6 +26,8 @@
     pub(super) run_times: BTreeMap<JobId, Duration>,
     /// Number of attempts at each task that are still to fail.
     pub(super) failures_left: BTreeMap<TaskId, u32>,
+    /// Workers on which each task of the jobs in `run_times` fails.
+    pub(super) faulty: BTreeSet<&'static str>,
     /// Jobs of which all tasks exit once one has failed.
     pub(super) gangs: BTreeSet<JobId>,
     /// Tasks that have completed.
@@ -45,6 +47,7 @@
             workers: Vec::new(),
             run_times: BTreeMap::new(),
             failures_left: BTreeMap::new(),
+            faulty: BTreeSet::new(),
             gangs: BTreeSet::new(),
             completed: BTreeSet::new(),
             last_failure,
@@ -97,14 +100,16 @@
 
     fn advance_tasks(&mut self, n: usize) {
         let now = self.leader.now;
+        let is_faulty = self.faulty.contains(self.workers[n].name);
         for (status, started_at) in &mut self.workers[n].tasks {
             if status.state != TaskState::Running {
                 continue;
             }
             let ran = now.duration_since(*started_at);
             let failures = self.failures_left.entry(status.task.clone()).or_default();
-            if *failures > 0 && ran >= FAILS_AFTER {
-                *failures -= 1;
+            let fails = *failures > 0 || is_faulty && self.run_times.contains_key(&status.task.job);
+            if fails && ran >= FAILS_AFTER {
+                *failures = failures.saturating_sub(1);
                 self.last_failure = now;
                 (status.state, status.exit_cause) = (TaskState::Exited, Some("error".into()));
             } else if self.run_times.get(&status.task.job).is_some_and(|time| ran >= *time) {
--- a/src/scheduler/tests/suspected_machines.rs
+++ b/src/scheduler/tests/suspected_machines.rs
@@ -1,10 +1,11 @@
 //! Suspected machines: no task waits for ever beside a machine on which tasks of its job failed.
 
 use super::simulated_workers::SimulatedCluster;
-use crate::ids::{JobId, TaskId};
+use crate::ids::{JobId, MachineId, TaskId};
 use crate::jobs::fixtures::job_spec;
 use crate::wire::{JobKind, JobSpec};
 use crate::workers::failure_attribution::MACHINE_AVOIDANCE;
+use crate::workers::machine::FAULTY_MACHINE_AVOIDANCE;
 use std::time::Duration;
 
 /// Time within which a task has to start beside free capacity once the trouble is over.
@@ -193,3 +194,60 @@
     cluster.run_for(DAY);
     assert_eq!(cluster.completed.len(), 11);
 }
+
+/// Returns a cluster in which "i-1", the only machine of zone "a", runs a service and was found faulty by two jobs.
+fn cluster_with_faulty_machine() -> SimulatedCluster {
+    let mut cluster = SimulatedCluster::new();
+    cluster.add_worker("a", "i-1");
+    cluster.add_worker("b", "i-2");
+    cluster.forbid_rentals();
+    let service = JobSpec { kind: JobKind::Service, spot: false, ..job_spec("wk-0", 1) };
+    cluster.leader.accept(JobSpec { zone: Some("a".into()), ..service });
+    cluster.run_for(Duration::from_secs(5));
+    cluster.faulty.insert("i-1");
+    for id in ["wk-1", "wk-2"] {
+        let job = cluster.leader.job(id, JobKind::Array, 1);
+        cluster.run_times.insert(job, Duration::from_secs(4));
+    }
+    cluster.run_for(Duration::from_secs(20));
+    assert_eq!(cluster.completed.len(), 2);
+    assert!(cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
+    cluster
+}
+
+fn array_in_zone_a(cluster: &mut SimulatedCluster, tasks: u64) -> JobId {
+    let spec = JobSpec { zone: Some("a".into()), ..job_spec("wk-3", tasks) };
+    let job = cluster.leader.accept(spec);
+    cluster.run_times.insert(job.clone(), Duration::from_secs(4));
+    job
+}
+
+/// A machine that was found faulty took no task as long as a replica ran there, although the trouble was over.
+#[test]
+fn faulty_machine_that_never_gets_empty_is_tried_again() {
+    let mut cluster = cluster_with_faulty_machine();
+    let job = array_in_zone_a(&mut cluster, 8);
+    cluster.faulty.clear();
+    while !cluster.is_served(&job, 8) {
+        cluster.step();
+        assert!(cluster.leader.now < cluster.last_failure + MAX_WAIT, "{:?}", cluster.completed);
+    }
+    assert!(!cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
+}
+
+/// A machine that remains faulty gets one task per avoidance, however many wait, and none that fits elsewhere.
+#[test]
+fn faulty_machine_that_goes_on_failing_is_tried_with_one_task_at_a_time() {
+    let mut cluster = cluster_with_faulty_machine();
+    let job = array_in_zone_a(&mut cluster, 8);
+    let elsewhere = cluster.leader.job("wk-4", JobKind::Array, 2);
+    cluster.run_for(DAY);
+    let starts_of = |job: &JobId| -> u32 {
+        let starts = cluster.starts.iter().filter(|(task, _)| task.job == *job);
+        starts.map(|(_, starts)| starts).sum()
+    };
+    let trials = DAY.div_duration_f64(FAULTY_MACHINE_AVOIDANCE).ceil() as u32;
+    assert!((2..=trials).contains(&starts_of(&job)), "{}", starts_of(&job));
+    assert_eq!(starts_of(&elsewhere), 2);
+    assert!(cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
+}
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -7,12 +7,14 @@
 
 mod attempt;
 mod commands;
+mod fault;
 mod fence;
 mod heartbeat;
 mod usage;
 
 pub use attempt::{AttemptSpec, JOB_FINISHED, PlacedAttempt, StopRequest, TaskEvent};
 pub use commands::MAX_COMMANDS_PER_ANSWER;
+pub use fault::FAULTY_MACHINE_AVOIDANCE;
 pub use fence::{LeaderTokens, WorkerFence};
 pub use heartbeat::HeartbeatEffect;
 pub use usage::{TeamUsage, Usage};
@@ -110,6 +112,8 @@
     pub image_ids: Images,
     /// Jobs of which a task failed on it, whatever the cause.
     pub failed_jobs: HashSet<JobId>,
+    /// Time of the last failure of a task on it.
+    pub last_failure: Option<Instant>,
     /// True if at least `MACHINE_FAULT_JOBS` jobs that succeed elsewhere have failed on it.
     pub faulty: bool,
     /// Time of the last unanswered direct call that was made while its zone was reachable; cleared by a heartbeat.
@@ -166,6 +170,7 @@
             images: Vec::new(),
             image_ids: Images::default(),
             failed_jobs: HashSet::new(),
+            last_failure: None,
             faulty: false,
             unanswered_probe: None,
             direct_in_flight: false,
