Drains and consolidation move no task to a machine that its job avoids

What callers saw: nothing yet; found by going through who reads the marks of failed tasks. A drain stopped a replica for a machine on which the service's tasks had failed; the planner does not start it there, so the replica is down.

Cause: moves chose their target by free capacity, image, zone and type only. Before suspicions ended by themselves the replica would have been down for ever.

--- a/src/scheduler/consolidation.rs
+++ b/src/scheduler/consolidation.rs
@@ -7,6 +7,7 @@
 use crate::jobs::{Job, LiveJob};
 use crate::placement::Bin;
 use crate::scheduler::Scheduler;
+use crate::scheduler::job_progress::JobProgress;
 use crate::scheduler::planning::MachineBins;
 use crate::scheduler::preemption::MOVED;
 use crate::scheduler::task_attempt::TaskAttempt;
@@ -271,11 +272,12 @@
             Evacuation { machine: self.machine.id.clone(), moves: Vec::new(), replicas: 0 };
         for ((task, _), entry) in remaining_tasks(self.machine) {
             let spec = &self.cache.jobs.get(&task.job).and_then(Job::live)?.spec;
-            scheduler.jobs.progress.get(&task.job)?;
+            let progress = scheduler.jobs.progress.get(&task.job)?;
             let target = targets.values_mut().find(|target| {
                 entry.request.fits(&target.free)
                     && self.may_move_to(scheduler, &self.bins[target.bin], &task.job, spec)
                     && self.has_image(scheduler, target.bin, entry)
+                    && !self.is_suspected(progress, target.bin)
             })?;
             target.free = target.free.minus(&entry.request);
             evacuation.moves.push(TaskMove { target: target.bin, resources: entry.request });
@@ -301,6 +303,12 @@
         machine.is_some_and(|machine| machine.images.contains(&entry.image))
     }
 
+    /// Returns whether tasks of the job failed on the bin's machine, so that the planner would not
+    /// start the moved task there.
+    fn is_suspected(&self, progress: &JobProgress, bin: usize) -> bool {
+        self.ids[bin].as_ref().is_some_and(|id| progress.failures.suspects(id))
+    }
+
     /// Returns whether a task of the job may run on a bin, given where the job's other tasks are.
     fn may_move_to(&self, scheduler: &Scheduler, bin: &Bin, job: &JobId, spec: &JobSpec) -> bool {
         if !scheduler.allows_bin(spec, bin) {
--- a/src/scheduler/drains.rs
+++ b/src/scheduler/drains.rs
@@ -162,7 +162,8 @@
                 if !self.is_drained(machine) {
                     continue;
                 }
-                let target = self.find_target(live, progress, *index, machine, bins, names, &free);
+                let target =
+                    self.find_target(live, progress, *index, machine, bins, names, &free, now);
                 let Some(target) = target else {
                     continue;
                 };
@@ -188,6 +189,7 @@
         bins: &[Bin],
         names: &[Option<MachineId>],
         free: &[Amount],
+        now: Instant,
     ) -> Option<usize> {
         let spec = &live.spec;
         let max_per_zone = (spec.tasks as u32).div_ceil(2);
@@ -206,7 +208,10 @@
                 // A job that has to be in one zone stays in that zone as long as any of its tasks does.
                 && (!spec.one_zone || zone == from.zone || others_in_zone[from.zone] == 0)
         };
-        let fits = |at: &usize| allowed(&bins[*at]) && live.request.fits(&free[*at]);
+        let is_avoided =
+            |at: usize| names[at].as_ref().is_some_and(|id| progress.failures.avoids(id, now));
+        let fits =
+            |at: &usize| allowed(&bins[*at]) && live.request.fits(&free[*at]) && !is_avoided(*at);
         let has_image = |at: usize| {
             let machine = names[at].as_ref().and_then(|id| self.fleet.machines.get(id));
             machine.is_some_and(|m| m.images.iter().any(|image| **image == *spec.image))
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -152,9 +152,7 @@
         job: &LiveJob,
         now: Instant,
     ) -> Option<u32> {
-        let suspected = self.failures.suspected_machines();
-        let is_trial = self.failures.is_job_faulty()
-            || suspected.iter().any(|failure| failure.machine == *machine);
+        let is_trial = self.failures.is_job_faulty() || self.failures.suspects(machine);
         if !is_trial {
             return self.next_task(job, now);
         }
--- a/src/scheduler/tests/simulated_workers.rs
+++ b/src/scheduler/tests/simulated_workers.rs
@@ -2,12 +2,16 @@
 
 use super::fixture::TestLeader;
 use crate::cloud::CloudEvent;
-use crate::ids::{JobId, MachineId, TaskId};
+use crate::drains::DrainRecord;
+use crate::ids::{JobId, MachineId, Revision, TaskId};
+use crate::schema::keys::drain_key;
+use crate::store::Versioned;
 use crate::wire::{TaskState, TaskStatus, WorkerCommand};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use troutspindle_protocol::operator_api::DrainKind;
 
 /// Time between two steps; each worker sends one heartbeat per step.
 pub(super) const STEP: Duration = Duration::from_millis(500);
@@ -74,6 +78,27 @@
         self.leader.scheduler.on_cloud(event, &self.leader.store.cache, self.leader.now);
     }
 
+    /// Has an operator drain a machine.
+    pub(super) fn drain_machine(&mut self, name: &str) {
+        let record = DrainRecord {
+            kind: DrainKind::Machine,
+            name: name.into(),
+            by_ms: None,
+            at_ms: 0,
+            author: String::new(),
+            reason: String::new(),
+        };
+        let drains = &mut self.leader.store.cache.drains;
+        drains.insert(drain_key(record.kind, name), Versioned::new(record, Revision(9)));
+    }
+
+    /// Returns the number of tasks that run on a worker.
+    pub(super) fn running_on(&self, name: &str) -> usize {
+        let workers = self.workers.iter().filter(|worker| worker.name == name);
+        let tasks = workers.flat_map(|worker| &worker.tasks);
+        tasks.filter(|(status, _)| status.state == TaskState::Running).count()
+    }
+
     /// Allows no machine beside the workers' ones.
     pub(super) fn forbid_rentals(&mut self) {
         self.leader.scheduler.autoscaler.max_machines = self.workers.len() as u32;
--- a/src/scheduler/tests/suspected_machines.rs
+++ b/src/scheduler/tests/suspected_machines.rs
@@ -1,6 +1,6 @@
 //! Suspected machines: no task waits for ever beside a machine on which tasks of its job failed.
 
-use super::simulated_workers::SimulatedCluster;
+use super::simulated_workers::{STEP, SimulatedCluster};
 use crate::ids::{JobId, MachineId, TaskId};
 use crate::jobs::fixtures::job_spec;
 use crate::wire::{JobKind, JobSpec};
@@ -285,3 +285,25 @@
         assert_eq!(requested_machines(&cluster), machines_needed, "{kind:?}");
     }
 }
+
+/// A drain stopped a replica although its service avoided the only other machine, so that the replica was down meanwhile.
+#[test]
+fn drain_moves_no_replica_towards_a_machine_that_its_service_avoids() {
+    let mut cluster = SimulatedCluster::new();
+    cluster.add_worker("a", "i-1");
+    cluster.add_worker("a", "i-2");
+    cluster.forbid_rentals();
+    let spec = JobSpec { kind: JobKind::Service, spot: false, ..job_spec("wk-1", 2) };
+    let job = cluster.leader.accept(spec);
+    cluster.failures_left.insert(TaskId { job: job.clone(), index: 0 }, 1);
+    cluster.run_for(Duration::from_secs(10));
+    assert!(cluster.is_served(&job, 2));
+    cluster.drain_machine("i-2");
+    let (mut down, end) = (Duration::ZERO, cluster.leader.now + MAX_WAIT);
+    while cluster.leader.now < end {
+        cluster.step();
+        down += if cluster.is_served(&job, 2) { Duration::ZERO } else { STEP };
+    }
+    assert!(down <= Duration::from_secs(3), "{down:?}");
+    assert_eq!(cluster.running_on("i-2"), 0);
+}
--- a/src/workers/failure_attribution.rs
+++ b/src/workers/failure_attribution.rs
@@ -127,6 +127,17 @@
         &self.machine_failures
     }
 
+    /// Returns whether its tasks avoid a machine or use it as a last resort.
+    pub fn suspects(&self, machine: &MachineId) -> bool {
+        self.suspected_machines().iter().any(|failure| failure.machine == *machine)
+    }
+
+    /// Returns whether its tasks stay off a machine for now.
+    pub fn avoids(&self, machine: &MachineId, now: Instant) -> bool {
+        let mut suspected = self.suspected_machines().iter();
+        suspected.any(|failure| failure.machine == *machine && failure.is_avoided(now))
+    }
+
     /// Returns the machines that its tasks avoid or use as a last resort: those on which they failed, or none above
     /// [`MACHINE_FAULT_JOBS`].
     pub fn suspected_machines(&self) -> &[MachineFailure] {
