Urgent work that ends all the time keeps best-effort work off for 30 s at most

What callers saw: nothing yet; found by going through what holds a task back. On a machine on which urgent tasks end every few seconds, a best-effort job waits beside free CPUs as long as they keep coming.

Cause: best-effort tasks keep off a machine for 5 s after a more urgent task left it, and each end began the 5 s anew.

Change: ends within 5 s of each other form a series, which closes the machine to best-effort work for at most 30 s; for the next 5 s it is open.

Measured: best_effort_job_starts_beside_urgent_tasks_that_end_all_the_time (one machine, two urgent tasks of 6 CPUs that run 1 to 4 s, a best-effort task of 1 CPU): not started within 90 s before (run time 1 s, at which the test ends); started for all four after.

--- a/src/scheduler/planning/fleet_view.rs
+++ b/src/scheduler/planning/fleet_view.rs
@@ -16,9 +16,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time during which best-effort tasks are not placed on a machine after tasks of higher priority
-/// have left it: the next task of higher priority would stop them again.
-const VACATED_MACHINE_COOLDOWN: Duration = Duration::from_secs(5);
 /// Maximum time that a new leader waits for the cloud's first machine list, as a multiple of
 /// [`RENTAL_SETTLE_TIME`].
 const LIST_WAIT_SETTLE_TIMES: u32 = 4;
@@ -217,9 +214,7 @@
                 basket: machine.basket,
                 ready: up && machine.confirmed && machine.recorded,
                 images: machine.image_ids.clone(),
-                recently_vacated: machine
-                    .vacated_at
-                    .is_some_and(|at| now < at + VACATED_MACHINE_COOLDOWN),
+                recently_vacated: machine.is_recently_vacated(now),
                 last_resort: machine.faulty,
             });
             machines.ids.push(Some(machine.id.clone()));
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -103,7 +103,7 @@
             && let Some(entry) = machine.attempts.get(&exit.key())
             && entry.priority < Priority::Low
         {
-            machine.vacated_at = Some(now);
+            machine.record_vacated(now);
         }
     }
 
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -14,3 +14,4 @@
 mod runtime_prediction;
 mod simulated_workers;
 mod suspected_machines;
+mod vacated_machines;
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -11,6 +11,7 @@
 mod fence;
 mod heartbeat;
 mod usage;
+mod vacated;
 
 pub use attempt::{AttemptSpec, JOB_FINISHED, PlacedAttempt, StopRequest, TaskEvent};
 pub use commands::MAX_COMMANDS_PER_ANSWER;
@@ -18,6 +19,7 @@
 pub use fence::{LeaderTokens, WorkerFence};
 pub use heartbeat::HeartbeatEffect;
 pub use usage::{TeamUsage, Usage};
+use vacated::VacatedSeries;
 
 use crate::cloud::MachinePool;
 use crate::ids::{Attempt, ControllerId, JobId, MachineId, TaskId};
@@ -100,8 +102,8 @@
     pub terminated_up_to: Attempt,
     /// Time since which nothing runs on it.
     pub idle_since: Option<Instant>,
-    /// Time at which a task above low priority last ended on it.
-    pub vacated_at: Option<Instant>,
+    /// Series of the last tasks above low priority that ended on it.
+    vacated: Option<VacatedSeries>,
     /// Time at which its tasks were last moved elsewhere by consolidation.
     pub last_consolidated: Option<Instant>,
     /// Basket that it belongs to, or belonged to before it became empty.
@@ -164,7 +166,7 @@
             attempts: BTreeMap::new(),
             terminated_up_to: Attempt(0),
             idle_since: None,
-            vacated_at: None,
+            vacated: None,
             last_consolidated: None,
             basket: None,
             images: Vec::new(),
