Tasks that share a zone go to a zone that can get capacity

What callers saw: nothing yet; found by going through what holds a task back. A job whose tasks must share a zone waits for ever if no zone has room on machines that are up and the first zone has nothing to rent, though another one has. A gang of that kind waits where a part of it fits and the rest never does.

Cause: the zone was chosen by room on machines that are up alone; with none, always the first one. Nothing that happens in that zone changes the choice.

Change: where no machine that is up has room, machines that are a last resort, booting or for rent count, in this order; for a gang it counts first whether all of it can fit. With room on machines that are up the choice for other jobs is as before.

Measured: tasks_that_share_a_zone_use_the_zone_that_can_get_capacity fails before (nothing rented) and passes after, for arrays and gangs and either zone.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -16,6 +16,7 @@
 mod packing;
 mod scale_out;
 mod service_order;
+mod single_zone;
 
 pub use basket::Basket;
 pub use model::{
--- a/src/placement/gang.rs
+++ b/src/placement/gang.rs
@@ -1,7 +1,7 @@
-//! Placement of gangs and of requests whose tasks must all run in one zone.
+//! Placement of gangs.
 
 use super::basket::Basket;
-use super::model::{Bin, BinIndex, PlacementRequest, RequestIndex, ZoneLimits, max_copies};
+use super::model::{Bin, BinIndex, PlacementRequest, RequestIndex, ZoneLimits};
 use super::packing::Packer;
 use crate::ids::{Amount, ZoneId};
 
@@ -60,28 +60,4 @@
         let is_heavy = |bin: &&Bin| bin.basket == Some(Basket::Heavy);
         self.heavy_machines = self.bins.iter().filter(is_heavy).count();
     }
-
-    /// Returns the zone in which the most of the request's tasks fit on machines that are up; among
-    /// equal zones, the one in which the most fit as a last resort, and then the first.
-    pub(super) fn best_single_zone(&self, request: &PlacementRequest) -> Option<ZoneId> {
-        let task_count = u64::from(request.count);
-        let fitting_tasks = |zone: &ZoneId, is_last_resort: bool| -> u64 {
-            let per_machine = self
-                .bins
-                .iter()
-                .filter(|bin| bin.ready && bin.zone == *zone)
-                .filter(|bin| request.allows(bin.zone, bin.machine_type, bin.spot))
-                .filter(|bin| bin.basket.is_none_or(|basket| basket == request.basket))
-                .filter(|bin| !request.excluded_machines.contains(&bin.index))
-                .filter(|bin| {
-                    is_last_resort
-                        == (bin.last_resort || request.last_resort_machines.contains(&bin.index))
-                })
-                .map(|bin| max_copies(&bin.free, &request.resources).min(task_count));
-            per_machine.sum::<u64>().min(task_count)
-        };
-        // `max_by_key` returns the last of equal zones, so the reversed order selects the first.
-        let rank = |zone: &ZoneId| (fitting_tasks(zone, false), fitting_tasks(zone, true));
-        request.zone_limits.zones().rev().max_by_key(rank)
-    }
 }
--- a/src/placement/packing.rs
+++ b/src/placement/packing.rs
@@ -40,7 +40,7 @@
     pub(super) bins: Vec<Bin>,
     pub(super) capacity_index: CapacityIndex,
     image_index: ImageIndex,
-    scale_out: ScaleOut,
+    pub(super) scale_out: ScaleOut,
     pub(super) team_headroom: Vec<Amount>,
     pub(super) heavy_machines: usize,
     heavy_limit: usize,
--- a/src/placement/scale_out.rs
+++ b/src/placement/scale_out.rs
@@ -1,6 +1,7 @@
 //! Selection of machines to rent for tasks that fit on no existing machine.
 
 use super::model::{Bin, MachineTypeOffer, PlacementRequest, ScaleOutPolicy, max_copies};
+use crate::ids::ZoneId;
 use std::cmp::Ordering;
 
 /// Ratio of the fleet size to the remaining rentals. Above this ratio, the fleet is near its machine
@@ -25,6 +26,16 @@
         self.rented
     }
 
+    /// Returns the number of a request's tasks that fit on machines that can be rented in a zone.
+    pub(super) fn rentable_tasks(&self, request: &PlacementRequest, zone: ZoneId) -> u64 {
+        let offers = self.offers.iter().filter(|offer| offer.zone == zone);
+        let tasks = offers.filter(|offer| is_usable(offer, request)).map(|offer| {
+            let machines = u64::from(offer.available.min(self.remaining));
+            machines.saturating_mul(max_copies(&offer.capacity, &request.resources))
+        });
+        tasks.fold(0, u64::saturating_add)
+    }
+
     /// Rents a machine of the usable offer with the lowest price per task; among equals, in the zone
     /// with the fewest machines. Near the machine limit (see [`FLEET_PER_RENTAL_NEAR_LIMIT`]), offers
     /// are compared by the number of tasks that fit on a machine first.
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -350,3 +350,43 @@
         (vec![1], vec![tasks_of_first(2)], vec![tasks_of_first(7)])
     );
 }
+
+fn machine_with_free_cpus(index: u64, zone: ZoneId, cpus: f64, ready: bool) -> Bin {
+    let free = Amount::capacity(cpus, 0.0, 64.0);
+    Bin { index, ready, ..Bin::booting(zone, MachineTypeId::new(0), false, free) }
+}
+
+/// A job whose tasks must share a zone waited for ever for the first zone, if no zone had free capacity and only another
+/// one could get some.
+#[test]
+fn tasks_that_share_a_zone_use_the_zone_that_can_get_capacity() {
+    let unlimited = Amount { cpu: u64::MAX, gpu: 0, ram: u64::MAX };
+    let planned = |gang: bool, bins: Vec<Bin>, offers: Vec<MachineTypeOffer>| {
+        plan(PlacementInput {
+            bins,
+            requests: vec![PlacementRequest { single_zone: true, gang, ..request(2, 6.0) }],
+            team_headroom: vec![unlimited],
+            offers,
+            heavy_limit: 1,
+            rental_limit: u32::MAX,
+        })
+    };
+    let offers = |zone| vec![offer(zone, false, 0.9)];
+    for (zone, gang) in [(ZONE_A, false), (ZONE_A, true), (ZONE_B, false), (ZONE_B, true)] {
+        let full = |zone| machine_with_free_cpus(0, zone, 1.0, true);
+        let both_full = vec![full(ZONE_A), full(ZONE_B)];
+        assert_eq!(
+            planned(gang, both_full.clone(), offers(zone)).scale_out,
+            [1],
+            "{zone:?} {gang}"
+        );
+        let booting = machine_with_free_cpus(1, zone, 16.0, false);
+        let plan = planned(gang, [both_full, vec![booting]].concat(), vec![]);
+        assert!(gang || plan.booked == [tasks_of_first(2)], "{zone:?}");
+        // A part of a gang that fits on machines that are up is of no use where the rest never fits.
+        let other = if zone == ZONE_A { ZONE_B } else { ZONE_A };
+        let part = vec![machine_with_free_cpus(0, other, 6.0, true)];
+        assert_eq!(planned(true, part.clone(), offers(zone)).scale_out, [1], "{zone:?}");
+        assert_eq!(planned(false, part, offers(zone)).starts.len(), 1);
+    }
+}
