A best-effort job that no machine could ever run may rent an ordinary one after 60 s

What callers saw: nothing yet; found by going through what holds a task back. In a cluster without warm room and other work, a best-effort job without an aim that may not use spot machines is never started, and one that may waits as long as the cloud refuses spot machines.

Cause: such work rents spot machines only, and nothing ended that limit.

Change: after 60 s the limit does not apply if there is no machine, full or to come, on which the job's tasks could run. Where there is one, all is as before.

--- a/src/scheduler/placement_requests.rs
+++ b/src/scheduler/placement_requests.rs
@@ -10,6 +10,7 @@
 use crate::scheduler::planning::{FleetView, waiting_cause};
 use crate::wire::{JobKind, Priority};
 use crate::workers::machine::{Machine, MachineState};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Multiple of the nominal boot time within which most machines are up and have an image.
@@ -18,6 +19,10 @@
 /// requested in such parts.
 const WARM_PARTS_PER_MACHINE: u64 = 4;
 
+/// Time for which a best-effort job waits for a spot machine if there is no machine at all that could
+/// run its tasks. Then other machines may be rented for it, too.
+const BEST_EFFORT_RENTAL_DELAY: Duration = Duration::from_secs(60);
+
 /// Context shared by the requests of a pass.
 pub(super) struct RequestContext<'a> {
     /// The fleet as the pass sees it.
@@ -114,7 +119,7 @@
         };
         let count = self.startable_tasks(id, job, max_tasks, context)?;
         request.count = u32::try_from(count).unwrap_or(u32::MAX);
-        self.apply_progress(&mut request, id, job, context.now)?;
+        self.apply_progress(&mut request, id, job, context)?;
         Some(request)
     }
 
@@ -148,14 +153,16 @@
         (count > 0 && !has_missing_task).then_some(count)
     }
 
-    /// Restricts a request by where the job's tasks run and where they failed.
+    /// Restricts a request by where the job's tasks run and where they failed, and sets what may be
+    /// rented for it.
     fn apply_progress(
         &self,
         request: &mut PlacementRequest,
         id: &JobId,
         job: &LiveJob,
-        now: Instant,
+        context: &RequestContext<'_>,
     ) -> Option<()> {
+        let (fleet, now) = (context.fleet, context.now);
         let spec = &job.spec;
         let progress = self.jobs.progress.get(id)?;
         // Tens of thousands of tasks may be placed, so they are visited only if their zones matter.
@@ -171,6 +178,14 @@
             }
         }
         self.exclude_suspected_machines(request, id, &progress.failures, now);
+        let waited =
+            progress.first_seen.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        if request.scale_out == ScaleOutPolicy::Spot
+            && waited >= BEST_EFFORT_RENTAL_DELAY
+            && !fleet.has_machine_for(request)
+        {
+            request.scale_out = ScaleOutPolicy::Any;
+        }
         if !progress.failures.may_rent(now) {
             // A trial of a job that fails everywhere uses existing free capacity first.
             request.scale_out = ScaleOutPolicy::Nothing;
--- a/src/scheduler/planning/fleet_view.rs
+++ b/src/scheduler/planning/fleet_view.rs
@@ -6,7 +6,7 @@
 use super::JobsView;
 use crate::cloud::{CloudClient, MachinePool, PendingRental};
 use crate::ids::{Amount, MachineId, MachineTypeId, ZoneId};
-use crate::placement::{Basket, Bin};
+use crate::placement::{Basket, Bin, PlacementRequest};
 use crate::scheduler::Scheduler;
 use crate::scheduler::autoscaling::RENTAL_SETTLE_TIME;
 use crate::scheduler::consolidation::CONSOLIDATION_INTERVAL;
@@ -75,6 +75,22 @@
 }
 
 impl FleetView {
+    /// Returns whether there is a machine, full or not, up or to come, on which tasks of the request
+    /// may run.
+    pub(in crate::scheduler) fn has_machine_for(&self, request: &PlacementRequest) -> bool {
+        let is_suitable = |zone, machine_type: MachineTypeId, spot| {
+            request.allows(zone, machine_type, spot)
+                && request.resources.fits(&self.capacities[machine_type.index()])
+        };
+        let mut bins = self.machines.bins.iter();
+        bins.any(|bin| is_suitable(bin.zone, bin.machine_type, bin.spot))
+            || self.rental.pending.iter().any(|rental| {
+                let pool = rental.pool;
+                let machine_type = MachineTypeId::new(pool.machine_type);
+                is_suitable(ZoneId::new(pool.zone), machine_type, pool.spot)
+            })
+    }
+
     /// Adds one bin for each machine of a pending rental.
     pub(super) fn add_pending_rentals(&mut self) {
         for PendingRental { pool, count } in &self.rental.pending {
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the scheduler, by subject.
 
+mod best_effort;
 mod cancellation;
 mod elastic_width;
 mod failover;
@@ -14,4 +15,3 @@
 mod runtime_prediction;
 mod simulated_workers;
 mod suspected_machines;
-mod vacated_machines;
--- a/src/scheduler/tests/vacated_machines.rs
+++ b/src/scheduler/tests/best_effort.rs
@@ -1,4 +1,4 @@
-//! Machines that more urgent work has left: best-effort work keeps off them for a bounded time.
+//! Limits on best-effort work: each ends by itself.
 
 use super::simulated_workers::SimulatedCluster;
 use crate::jobs::fixtures::job_spec;
@@ -26,3 +26,26 @@
         assert!(cluster.completed.len() < 400);
     }
 }
+
+/// A best-effort job that spot machines can't run was never started if there was no other machine for it.
+#[test]
+fn best_effort_job_gets_a_machine_if_there_is_none_that_could_run_it() {
+    for (allows_spot, has_spot) in [(false, true), (false, false), (true, false)] {
+        let mut cluster = SimulatedCluster::new();
+        cluster.keep_no_warm_capacity();
+        cluster.leader.scheduler.fleet.listed_once = true;
+        let spec = JobSpec { priority: Priority::Low, spot: allows_spot, ..job_spec("wk-1", 3) };
+        cluster.leader.accept(spec);
+        let end = cluster.leader.now + MAX_WAIT;
+        while cluster.leader.now < end {
+            if !has_spot {
+                cluster.refuse_spot_rentals();
+            }
+            cluster.step();
+        }
+        let rentals = cluster.leader.cloud.pending_rentals();
+        let ordinary = rentals.iter().filter(|rental| !rental.pool.spot);
+        let machines: u32 = ordinary.map(|rental| rental.count).sum();
+        assert_eq!(machines, 1, "{allows_spot} {has_spot}");
+    }
+}
--- a/src/scheduler/tests/simulated_workers.rs
+++ b/src/scheduler/tests/simulated_workers.rs
@@ -1,7 +1,7 @@
 //! Workers that carry out a leader's commands in simulated time, for tests of liveness.
 
 use super::fixture::TestLeader;
-use crate::cloud::CloudEvent;
+use crate::cloud::{CloudEvent, MachinePool};
 use crate::drains::DrainRecord;
 use crate::ids::{JobId, MachineId, Revision, TaskId};
 use crate::schema::keys::drain_key;
@@ -99,6 +99,15 @@
         tasks.filter(|(status, _)| status.state == TaskState::Running).count()
     }
 
+    /// Has the cloud refuse spot machines for now.
+    pub(super) fn refuse_spot_rentals(&mut self) {
+        for zone in 0..self.leader.scheduler.fleet.zone_count() {
+            let event =
+                CloudEvent::CapacityExhausted(MachinePool { machine_type: 0, zone, spot: true });
+            self.leader.scheduler.on_cloud(event, &self.leader.store.cache, self.leader.now);
+        }
+    }
+
     /// Allows no machine beside the workers' ones.
     pub(super) fn forbid_rentals(&mut self) {
         self.leader.scheduler.autoscaler.max_machines = self.workers.len() as u32;
