Where its task ran before it failed, a job may preempt on its last resort

What callers saw: nothing yet; found by a test of the related paths. A replica that ran for hours fails once on the only machine it may use; tasks of low priority take its place within the 30 s, and it never gets it back, however long they run.

Cause: a job that has not done well since its first failure stops nobody for a trial, so that a job with a mistake disturbs no other. What a replica did before its first failure was not looked at.

Change: a job may stop others on its last resort if one of its tasks did well or ran for 10 s before it failed, which tasks of a job with a mistake don't. Whose fault a failure is, is judged as before.

Measured: only_jobs_that_did_well_preempt_on_their_last_resort: the replica that ran 20 s was not served 90 s after its failure before, and is after; one that failed after 2 s stops nobody in both.

--- a/src/scheduler/planning/demand.rs
+++ b/src/scheduler/planning/demand.rs
@@ -51,14 +51,16 @@
 
 impl WaitingTasks {
     /// Returns all tasks of a request as waiting. A job that fails everywhere preempts nothing, and
-    /// until one of the job's tasks has succeeded, no task is preempted where one of them failed.
+    /// one of which no task has done well yet preempts nothing where one of them failed.
     pub(super) fn of(job: &JobRequest, failures: &FailureAttribution) -> WaitingTasks {
         let request = &job.request;
         let may_preempt = request.priority <= Priority::High
             && request.scale_out == ScaleOutPolicy::Any
             && !failures.is_job_faulty();
         let mut preemptor = may_preempt.then(|| request.clone());
-        if let Some(preemptor) = preemptor.as_mut().filter(|_| !failures.has_succeeded()) {
+        if let Some(preemptor) = preemptor.as_mut()
+            && !failures.may_preempt_on_last_resort()
+        {
             preemptor.excluded_machines.extend(&request.last_resort_machines);
         }
         WaitingTasks { job: job.job.clone(), remaining: request.count, rank: job.rank, preemptor }
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -6,6 +6,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::job_progress::RetryBackoff;
 use crate::scheduler::preemption::{MOVED, PREEMPTED};
+use crate::scheduler::reconciliation::SUCCESS_AFTER_RUNNING;
 use crate::scheduler::runtime_prediction::ObservedRun;
 use crate::scheduler::task_attempt::TaskAttempt;
 use crate::store::Cache;
@@ -159,13 +160,20 @@
 
     fn attribute_failure(&mut self, exit: &TaskExit, now: Instant) {
         let job = &exit.task.job;
+        let mut ran_long = false;
         if let Some(machine) = self.fleet.machines.get_mut(&exit.machine) {
             machine.failed_jobs.insert(job.clone());
             machine.last_failure = Some(now);
+            let entry = machine.attempts.get(&exit.key());
+            let running_since = entry.and_then(|entry| entry.running_since);
+            ran_long = running_since.is_some_and(|at| now >= at + SUCCESS_AFTER_RUNNING);
         }
         let Some(progress) = self.jobs.progress.get_mut(job) else { return };
         let was_faulty = progress.failures.is_job_faulty();
         progress.failures.record_failure(&exit.machine, now);
+        if ran_long {
+            progress.failures.record_run_before_failure();
+        }
         if progress.failures.is_job_faulty() && !was_faulty {
             let machines = progress.failures.machine_failures().len();
             tracing::info!(%job, machines, "job suspected to be faulty: fails on every machine, retrying with backoff");
--- a/src/scheduler/tests/suspected_machines.rs
+++ b/src/scheduler/tests/suspected_machines.rs
@@ -3,7 +3,8 @@
 use super::simulated_workers::{STEP, SimulatedCluster};
 use crate::ids::{JobId, MachineId, TaskId};
 use crate::jobs::fixtures::job_spec;
-use crate::wire::{JobKind, JobSpec};
+use crate::scheduler::reconciliation::SUCCESS_AFTER_RUNNING;
+use crate::wire::{JobKind, JobSpec, Priority};
 use crate::workers::failure_attribution::MACHINE_AVOIDANCE;
 use crate::workers::machine::FAULTY_MACHINE_AVOIDANCE;
 use std::time::Duration;
@@ -307,3 +308,28 @@
     assert!(down <= Duration::from_secs(3), "{down:?}");
     assert_eq!(cluster.running_on("i-2"), 0);
 }
+
+/// A replica that failed on the only machine must get its place back from tasks of lower priority that took it meanwhile,
+/// while a job that never did well stops nobody for a trial.
+#[test]
+fn only_jobs_that_did_well_preempt_on_their_last_resort() {
+    for did_well in [true, false] {
+        let mut cluster = SimulatedCluster::new();
+        cluster.add_worker("a", "i-1");
+        cluster.forbid_rentals();
+        let spec =
+            JobSpec { kind: JobKind::Service, cpus: 6.0, spot: false, ..job_spec("wk-1", 1) };
+        let service = cluster.leader.accept(spec);
+        let ran_before = if did_well { SUCCESS_AFTER_RUNNING * 2 } else { Duration::from_secs(2) };
+        cluster.run_for(ran_before);
+        assert!(cluster.is_served(&service, 1));
+        let spec = JobSpec { priority: Priority::Low, cpus: 4.0, ..job_spec("wk-2", 4) };
+        let array = cluster.leader.accept(spec);
+        cluster.failures_left.insert(TaskId { job: service.clone(), index: 0 }, 1);
+        cluster.run_for(Duration::from_secs(20));
+        assert!(cluster.is_served(&array, 4), "the array did not fill the machine");
+        cluster.run_for(MAX_WAIT - Duration::from_secs(20));
+        assert_eq!(cluster.is_served(&service, 1), did_well);
+        assert_eq!(cluster.is_served(&array, 4), !did_well);
+    }
+}
--- a/src/workers/failure_attribution.rs
+++ b/src/workers/failure_attribution.rs
@@ -52,8 +52,10 @@
 pub struct FailureAttribution {
     /// Machines on which its tasks failed and none that was placed later succeeded.
     machine_failures: Vec<MachineFailure>,
-    /// True if one of its tasks completed, or ran for a while.
+    /// True if one of its tasks completed, or ran for a while after another one had failed.
     has_succeeded: bool,
+    /// True if one of its tasks ran for a while before it failed.
+    ran_before_failure: bool,
     /// Next trial; set while its failures are attributed to the job.
     trial: Option<Trial>,
 }
@@ -122,6 +124,16 @@
         self.trial.is_none_or(|trial| now >= trial.due + TRIAL_RENTAL_DELAY)
     }
 
+    /// Records that one of its tasks ran for a while before it failed, unlike those of a faulty job.
+    pub fn record_run_before_failure(&mut self) {
+        self.ran_before_failure = true;
+    }
+
+    /// Returns whether others may be preempted for its tasks where one of them failed. A faulty job must not do that.
+    pub fn may_preempt_on_last_resort(&self) -> bool {
+        self.has_succeeded || self.ran_before_failure
+    }
+
     /// Returns the machines on which its tasks failed and none that was placed later succeeded.
     pub fn machine_failures(&self) -> &[MachineFailure] {
         &self.machine_failures
