A gang that its team's limit cuts short waits for all of its tasks

What callers saw: nothing yet; found by going through what holds a task back. With room in its team's limit for a part of a gang, that part was started. The rest can't start beside it, so both wait until the workers end the part, hold its share of the limit meanwhile, and the same begins anew.

Cause: the request of a gang was cut to what the limit permits; only backoffs were looked at.

Change: a gang asks for all its waiting tasks or for none.

Measured: gang_that_exceeds_its_teams_limit_starts_later_as_a_whole: one of two and one of three tasks ran before; after, none until the other job of the team ends, then all.

--- a/src/scheduler/placement_requests.rs
+++ b/src/scheduler/placement_requests.rs
@@ -149,8 +149,8 @@
         }
         let count = max_tasks.min(waiting.saturating_sub(backing_off));
         // A gang that runs without one of its tasks would wait for that task forever.
-        let has_missing_task = is_gang && backing_off > 0;
-        (count > 0 && !has_missing_task).then_some(count)
+        let is_incomplete_gang = is_gang && count < waiting;
+        (count > 0 && !is_incomplete_gang).then_some(count)
     }
 
     /// Restricts a request by where the job's tasks run and where they failed, and sets what may be
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod fair_share;
 mod fixture;
+mod gangs;
 mod job_machines;
 mod limits;
 mod machines;
