Only a task that was placed as a trial clears a machine found faulty

What callers would have seen: a machine that fails some of its tasks counts as faulty and is cleared at once by a task that was placed between its last failure and the verdict and does well, so that it takes tasks again and is not returned.

Measured: task_from_before_the_verdict_does_not_clear_a_faulty_machine fails before and passes after.

--- a/src/scheduler/suspected_machines.rs
+++ b/src/scheduler/suspected_machines.rs
@@ -82,28 +82,27 @@
         machine: &MachineId,
         placed_at: Instant,
     ) {
-        self.clear_faulty_machine(machine, placed_at);
         if let Some(progress) = self.jobs.progress.get_mut(job) {
             progress.failures.record_success_on(machine, placed_at);
         }
     }
 
-    /// Ends the suspicion of faulty machines on which a task that was placed after the last failure has run for
+    /// Ends the suspicion of faulty machines on which a task that was placed as a trial has run for
     /// [`SUCCESS_AFTER_RUNNING`].
     pub(super) fn clear_refuted_machines(&mut self, now: Instant) {
         let machines = self.fleet.machines.values_mut().filter(|machine| machine.faulty);
         for machine in machines {
-            if machine.has_run_since_failure(SUCCESS_AFTER_RUNNING, now) {
+            if machine.has_trial_run_for(SUCCESS_AFTER_RUNNING, now) {
                 clear_faults(machine);
             }
         }
     }
 
-    fn clear_faulty_machine(&mut self, machine: &MachineId, placed_at: Instant) {
-        let machine = self.fleet.machines.get_mut(machine).filter(|machine| machine.faulty);
-        if let Some(machine) = machine
-            && machine.last_failure.is_some_and(|failed_at| placed_at > failed_at)
-        {
+    /// Ends the suspicion of a faulty machine if an attempt that completed there was placed as a trial.
+    pub(super) fn clear_machine_tried_by(&mut self, machine: &MachineId, attempt: &TaskAttempt) {
+        let Some(machine) = self.fleet.machines.get_mut(machine) else { return };
+        let attempt = machine.attempts.get(attempt);
+        if machine.faulty && attempt.is_some_and(|attempt| machine.is_trial(attempt)) {
             clear_faults(machine);
         }
     }
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -127,6 +127,7 @@
         if let Some(placed_at) = entry.map(|entry| entry.placed_at) {
             self.record_success_on(job, &exit.machine, placed_at);
         }
+        self.clear_machine_tried_by(&exit.machine, &exit.key());
     }
 
     /// Marks the exit as handled and returns whether the task was preempted for a job of higher priority. If the task
--- a/src/scheduler/tests/suspected_machines.rs
+++ b/src/scheduler/tests/suspected_machines.rs
@@ -236,6 +236,30 @@
     assert!(!cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
 }
 
+/// A machine that fails some tasks must not be cleared by one that it got before it was found faulty.
+#[test]
+fn task_from_before_the_verdict_does_not_clear_a_faulty_machine() {
+    let mut cluster = SimulatedCluster::new();
+    cluster.add_worker("a", "i-1");
+    cluster.add_worker("b", "i-2");
+    cluster.forbid_rentals();
+    cluster.run_for(Duration::from_secs(5));
+    for id in ["wk-1", "wk-2"] {
+        let job = cluster.leader.job(id, JobKind::Array, 1);
+        cluster.run_times.insert(job.clone(), Duration::from_secs(4));
+        cluster.failures_left.insert(TaskId { job, index: 0 }, 1);
+    }
+    while cluster.failures_left.values().any(|left| *left > 0) {
+        cluster.step();
+    }
+    cluster.step();
+    let service = JobSpec { kind: JobKind::Service, spot: false, ..job_spec("wk-0", 1) };
+    let service = cluster.leader.accept(JobSpec { zone: Some("a".into()), ..service });
+    cluster.run_for(Duration::from_secs(30));
+    assert!(cluster.is_served(&service, 1));
+    assert!(cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
+}
+
 /// A machine that remains faulty gets one task per avoidance, however many wait, and none that fits elsewhere.
 #[test]
 fn faulty_machine_that_goes_on_failing_is_tried_with_one_task_at_a_time() {
--- a/src/workers/machine/fault.rs
+++ b/src/workers/machine/fault.rs
@@ -10,30 +10,31 @@
 
 impl Machine {
     /// Returns whether one task may be placed on a faulty machine to show whether the machine still fails: the last
-    /// failure was long enough ago, and no other task that was placed since is still to show that.
+    /// failure was long enough ago, and no other such task is still to show that.
     pub fn may_be_tried(&self, now: Instant) -> bool {
-        let Some(failed_at) = self.last_failure else { return true };
-        now >= failed_at + FAULTY_MACHINE_AVOIDANCE
-            && !self.attempts_since(failed_at).any(|attempt| attempt.state != TaskState::Exited)
+        let mut trials = self.attempts.values().filter(|attempt| self.is_trial(attempt));
+        let is_due = self.last_failure.is_none_or(|at| now >= at + FAULTY_MACHINE_AVOIDANCE);
+        is_due && trials.all(|attempt| attempt.state == TaskState::Exited)
     }
 
-    /// Returns whether a task that was placed after the last failure has been running for `long_enough`.
-    pub fn has_run_since_failure(&self, long_enough: Duration, now: Instant) -> bool {
-        let ran = |attempt: &PlacedAttempt| {
+    /// Returns whether an attempt was placed so long after the last failure that its success refutes the suspicion.
+    pub fn is_trial(&self, attempt: &PlacedAttempt) -> bool {
+        self.last_failure.is_some_and(|at| attempt.placed_at >= at + FAULTY_MACHINE_AVOIDANCE)
+    }
+
+    /// Returns whether such an attempt has been running for `long_enough`.
+    pub fn has_trial_run_for(&self, long_enough: Duration, now: Instant) -> bool {
+        let ran = |attempt: &&PlacedAttempt| {
             attempt.state == TaskState::Running
                 && attempt.running_since.is_some_and(|at| now >= at + long_enough)
         };
-        self.last_failure.is_some_and(|failed_at| self.attempts_since(failed_at).any(ran))
+        self.attempts.values().filter(ran).any(|attempt| self.is_trial(attempt))
     }
 
-    /// Forgets all failures, because a task that was placed after the last one succeeded.
+    /// Forgets all failures, because a task that was placed long enough after the last one succeeded.
     pub fn clear_faults(&mut self) {
         self.failed_jobs.clear();
         self.last_failure = None;
         self.faulty = false;
     }
-
-    fn attempts_since(&self, time: Instant) -> impl Iterator<Item = &PlacedAttempt> + use<'_> {
-        self.attempts.values().filter(move |attempt| attempt.placed_at > time)
-    }
 }
