--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,6 +11,7 @@
 mod capacity_index;
 mod gang;
 mod image_index;
+mod last_resort;
 mod model;
 mod obstacle;
 mod packing;
--- a/src/placement/packing.rs
+++ b/src/placement/packing.rs
@@ -87,9 +87,9 @@
 
 /// Progress of placing one request. Its tasks are interchangeable, so a machine that can't fit one
 /// of them can't fit any other.
-struct Allocation<'a> {
+pub(super) struct Allocation<'a> {
     index: RequestIndex,
-    request: &'a mut PlacementRequest,
+    pub(super) request: &'a mut PlacementRequest,
     remaining: u32,
     booked: u32,
     heavy_limit: usize,
@@ -219,7 +219,7 @@
     }
 
     /// Returns whether tasks remain and the team's limit permits another one.
-    fn can_place_more(&self, allocation: &Allocation<'_>) -> bool {
+    pub(super) fn can_place_more(&self, allocation: &Allocation<'_>) -> bool {
         let request = &allocation.request;
         let headroom = &self.team_headroom[request.team.index()];
         allocation.remaining > 0 && request.resources.fits(headroom)
@@ -227,7 +227,11 @@
 
     /// Returns whether a heavy request is about to take machines from the pool (a `basket` of `None`)
     /// while the heavy basket has reached its limit.
-    fn is_at_heavy_limit(&self, allocation: &Allocation<'_>, basket: Option<Basket>) -> bool {
+    pub(super) fn is_at_heavy_limit(
+        &self,
+        allocation: &Allocation<'_>,
+        basket: Option<Basket>,
+    ) -> bool {
         basket.is_none()
             && allocation.request.basket == Basket::Heavy
             && self.heavy_machines >= allocation.heavy_limit
@@ -287,52 +291,6 @@
         }
     }
 
-    /// Assigns tasks to machines that are a last resort, in index order: those on which tasks of the
-    /// job failed, and those that may be faulty.
-    fn fill_last_resort(&mut self, allocation: &mut Allocation<'_>) {
-        for index in self.last_resort_bins_of(allocation.request) {
-            let bin = &self.bins[index.0];
-            let request = &*allocation.request;
-            if !bin.ready
-                || bin.basket.is_some_and(|basket| basket != request.basket)
-                || !request.allows(bin.zone, bin.machine_type, bin.spot)
-                || self.is_at_heavy_limit(allocation, bin.basket)
-                || !self.can_place_more(allocation)
-            {
-                continue;
-            }
-            let max_tasks = if request.gang { u32::MAX } else { 1 };
-            if self.assign_up_to(max_tasks, allocation, index) > 0 {
-                self.record_trial(allocation.request, index);
-            }
-        }
-    }
-
-    /// Returns the machines that are a last resort for a request, in index order.
-    fn last_resort_bins_of(&self, request: &PlacementRequest) -> Vec<BinIndex> {
-        let mut found = self.last_resort_bins.clone();
-        if !request.last_resort_machines.is_empty() {
-            let is_own = |index: &BinIndex| {
-                let bin = &self.bins[index.0];
-                !bin.last_resort && request.last_resort_machines.contains(&bin.index)
-            };
-            found.extend((0..self.bins.len()).map(BinIndex).filter(is_own));
-        }
-        found.sort_by_key(|index| self.bins[index.0].index);
-        found
-    }
-
-    /// Keeps other tasks off a machine on which a task was placed as a last resort. The heavy tasks
-    /// that remain may be placed again in the same pass.
-    fn record_trial(&mut self, request: &mut PlacementRequest, index: BinIndex) {
-        self.last_resort_bins.retain(|bin| *bin != index);
-        if !request.gang {
-            let machine = self.bins[index.0].index;
-            request.last_resort_machines.retain(|other| *other != machine);
-            request.excluded_machines.push(machine);
-        }
-    }
-
     fn rent_machines(&mut self, allocation: &mut Allocation<'_>) {
         while self.can_place_more(allocation) && !self.is_at_heavy_limit(allocation, None) {
             let Some(bin) = self.scale_out.rent(allocation.request, self.bins.len()) else {
@@ -354,7 +312,7 @@
     }
 
     /// Assigns to a machine at most `max_tasks` tasks and returns their number.
-    fn assign_up_to(
+    pub(super) fn assign_up_to(
         &mut self,
         max_tasks: u32,
         allocation: &mut Allocation<'_>,
