Tests of the short holds on starts and rentals: each ends by itself

Four rows of the table in docs/incidents/waiting-beside-room.md were shown by reading only: a new leader's wait for the cloud's list, a refused pool, a machine that was being emptied, a reclaim notice that is withdrawn.

--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -8,6 +8,7 @@
 mod fair_share;
 mod fixture;
 mod gangs;
+mod holds;
 mod job_machines;
 mod limits;
 mod machines;
--- a/src/scheduler/tests/best_effort.rs
+++ b/src/scheduler/tests/best_effort.rs
@@ -39,7 +39,7 @@
         let end = cluster.leader.now + MAX_WAIT;
         while cluster.leader.now < end {
             if !has_spot {
-                cluster.refuse_spot_rentals();
+                cluster.refuse_rentals(&[true]);
             }
             cluster.step();
         }
--- a/src/scheduler/tests/fixture.rs
+++ b/src/scheduler/tests/fixture.rs
@@ -20,6 +20,8 @@
     pub(super) now: Instant,
     /// Sequence number of the last heartbeat of any machine.
     pub(super) seq: u64,
+    /// Notice that heartbeats report, in seconds.
+    pub(super) notice_s: Option<f64>,
 }
 
 impl TestLeader {
@@ -35,7 +37,7 @@
             Scheduler::new(FencingToken(1), Revision(2), settings, &store.cache, wall, now);
         let mut cloud = CloudClient::new(5.0, now);
         cloud.begin_leadership(FencingToken(1), now);
-        TestLeader { scheduler, store, cloud, now, seq: 0 }
+        TestLeader { scheduler, store, cloud, now, seq: 0, notice_s: None }
     }
 
     /// Adds an accepted job to the cache and to the scheduler.
@@ -90,7 +92,7 @@
             agent_epoch: 1,
             seq: self.seq,
             token: FencingToken(1),
-            notice_s: None,
+            notice_s: self.notice_s,
             tasks,
         };
         let answer = self.scheduler.on_heartbeat(&heartbeat, &self.store.cache, self.now).unwrap();
--- a/src/scheduler/tests/simulated_workers.rs
+++ b/src/scheduler/tests/simulated_workers.rs
@@ -34,6 +34,8 @@
     pub(super) failures_left: BTreeMap<TaskId, u32>,
     /// Workers on which each task of the jobs in `run_times` fails.
     pub(super) faulty: BTreeSet<&'static str>,
+    /// Seconds until the cloud reclaims the machines, as all workers report.
+    pub(super) notice_s: Option<f64>,
     /// Jobs of which all tasks exit once one has failed.
     pub(super) gangs: BTreeSet<JobId>,
     /// Tasks that have completed.
@@ -54,6 +56,7 @@
             run_times: BTreeMap::new(),
             failures_left: BTreeMap::new(),
             faulty: BTreeSet::new(),
+            notice_s: None,
             gangs: BTreeSet::new(),
             completed: BTreeSet::new(),
             last_failure,
@@ -99,12 +102,14 @@
         tasks.filter(|(status, _)| status.state == TaskState::Running).count()
     }
 
-    /// Has the cloud refuse spot machines for now.
-    pub(super) fn refuse_spot_rentals(&mut self) {
+    /// Has the cloud refuse machines for now, spot ones for `true` and ordinary ones for `false`.
+    pub(super) fn refuse_rentals(&mut self, spot: &[bool]) {
         for zone in 0..self.leader.scheduler.fleet.zone_count() {
-            let event =
-                CloudEvent::CapacityExhausted(MachinePool { machine_type: 0, zone, spot: true });
-            self.leader.scheduler.on_cloud(event, &self.leader.store.cache, self.leader.now);
+            for &spot in spot {
+                let pool = MachinePool { machine_type: 0, zone, spot };
+                let event = CloudEvent::CapacityExhausted(pool);
+                self.leader.scheduler.on_cloud(event, &self.leader.store.cache, self.leader.now);
+            }
         }
     }
 
@@ -129,6 +134,7 @@
             let statuses = self.workers[n].tasks.iter().map(|(status, _)| status.clone());
             let statuses = statuses.collect();
             let Worker { name, zone, .. } = self.workers[n];
+            self.leader.notice_s = self.notice_s;
             let commands = self.leader.heartbeat_in(zone, name, statuses);
             commands.iter().for_each(|command| self.execute(n, command));
         }
