Reread: one check each for long runs, last resorts, baskets and waiting times

What stood twice: whether an attempt has run long enough (four places), whether a machine is a last resort, whether a basket is allowed (three places each), the number of a task's failures, how long a job has waited. Refuted failures are removed where they are found instead of by way of a list; a completed attempt is looked up once; faulty machines are looked through only if there is one; machines that are a last resort are not looked for when nothing remains to place.

--- a/src/placement/last_resort.rs
+++ b/src/placement/last_resort.rs
@@ -6,11 +6,14 @@
 impl Packer {
     /// Assigns tasks to machines that are up and a last resort, in index order: one to each, or any number of a gang's.
     pub(super) fn fill_last_resort(&mut self, allocation: &mut Allocation<'_>) {
+        if !self.can_place_more(allocation) {
+            return;
+        }
         for index in self.last_resort_bins_of(allocation.request) {
             let bin = &self.bins[index.0];
             let request = &*allocation.request;
             if !bin.ready
-                || bin.basket.is_some_and(|basket| basket != request.basket)
+                || !request.allows_basket(bin.basket)
                 || !request.allows(bin.zone, bin.machine_type, bin.spot)
                 || self.is_at_heavy_limit(allocation, bin.basket)
                 || !self.can_place_more(allocation)
--- a/src/placement/model.rs
+++ b/src/placement/model.rs
@@ -164,6 +164,16 @@
             && self.zone.is_none_or(|required| required == zone)
             && self.machine_types.as_ref().is_none_or(|types| types.contains(&machine_type))
     }
+
+    /// Returns whether the tasks may be placed on machines of this basket; `None` stands for the pool.
+    pub fn allows_basket(&self, basket: Option<Basket>) -> bool {
+        basket.is_none_or(|basket| basket == self.basket)
+    }
+
+    /// Returns whether a machine is a last resort, for this request or for all.
+    pub fn is_last_resort(&self, bin: &Bin) -> bool {
+        bin.last_resort || self.last_resort_machines.contains(&bin.index)
+    }
 }
 
 /// Restriction on the machines that may be rented for a request.
--- a/src/placement/obstacle.rs
+++ b/src/placement/obstacle.rs
@@ -57,7 +57,7 @@
         Obstacle::FaultyMachine
     } else if bin.recently_vacated && request.scale_out == ScaleOutPolicy::Spot {
         Obstacle::RecentlyVacated
-    } else if bin.basket.is_some_and(|basket| basket != request.basket) {
+    } else if !request.allows_basket(bin.basket) {
         Obstacle::OtherBasket
     } else if bin.basket.is_none() && request.basket == Basket::Heavy {
         Obstacle::HeavyLimit
--- a/src/placement/packing.rs
+++ b/src/placement/packing.rs
@@ -305,8 +305,7 @@
     /// Assigns to a machine as many tasks as fit and as the zone and team limits permit, unless it
     /// is a last resort.
     fn assign(&mut self, allocation: &mut Allocation<'_>, index: BinIndex) {
-        let bin = &self.bins[index.0];
-        if !bin.last_resort && !allocation.request.last_resort_machines.contains(&bin.index) {
+        if !allocation.request.is_last_resort(&self.bins[index.0]) {
             self.assign_up_to(u32::MAX, allocation, index);
         }
     }
--- a/src/placement/single_zone.rs
+++ b/src/placement/single_zone.rs
@@ -5,7 +5,7 @@
 use crate::ids::ZoneId;
 
 /// Number of a request's tasks that a zone has room for, by the machines that have it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct ZoneRoom {
     /// Machines that are up.
     up: u64,
@@ -41,34 +41,31 @@
     }
 
     fn zone_room(&self, request: &PlacementRequest, zone: ZoneId) -> ZoneRoom {
-        let mut room = ZoneRoom { up: 0, last_resort: 0, booting: 0, rentable: 0 };
+        let needed = u64::from(request.count);
+        let mut room = ZoneRoom::default();
         let usable = self.bins.iter().filter(|bin| bin.zone == zone && is_usable(bin, request));
         for bin in usable {
-            let tasks = max_copies(&bin.free, &request.resources).min(u64::from(request.count));
-            let is_last_resort =
-                bin.last_resort || request.last_resort_machines.contains(&bin.index);
-            match (bin.ready, is_last_resort) {
+            let tasks = max_copies(&bin.free, &request.resources).min(needed);
+            match (bin.ready, request.is_last_resort(bin)) {
                 (true, false) => room.up += tasks,
                 (true, true) => room.last_resort += tasks,
                 (false, _) => room.booting += tasks,
             }
         }
-        room.rentable = self.scale_out.rentable_tasks(request, zone);
-        let needed = u64::from(request.count);
         if room.up > 0 && !request.gang {
-            return ZoneRoom { up: room.up.min(needed), last_resort: 0, booting: 0, rentable: 0 };
+            return ZoneRoom { up: room.up.min(needed), ..ZoneRoom::default() };
         }
         ZoneRoom {
             up: room.up.min(needed),
             last_resort: room.last_resort.min(needed),
             booting: room.booting.min(needed),
-            rentable: room.rentable.min(needed),
+            rentable: self.scale_out.rentable_tasks(request, zone).min(needed),
         }
     }
 }
 
 fn is_usable(bin: &Bin, request: &PlacementRequest) -> bool {
     request.allows(bin.zone, bin.machine_type, bin.spot)
-        && bin.basket.is_none_or(|basket| basket == request.basket)
+        && request.allows_basket(bin.basket)
         && !request.excluded_machines.contains(&bin.index)
 }
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -8,6 +8,7 @@
 use crate::workers::failure_attribution::FailureAttribution;
 use foldhash::HashSet;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// All live jobs of this term with their progress.
@@ -109,6 +110,11 @@
             .saturating_sub(self.placed.len() as u64)
     }
 
+    /// Returns the time since this leader first saw the job ready to run.
+    pub(super) fn waited(&self, now: Instant) -> Duration {
+        self.first_seen.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Returns the end of a task's backoff, if it has not expired.
     fn backoff_of(&self, task: u32, now: Instant) -> Option<Instant> {
         self.retries.get(&task).map(|retry| retry.not_before).filter(|at| *at > now)
@@ -168,7 +174,8 @@
         next
     }
 
-    fn failure_count(&self, task: u32) -> u32 {
+    /// Returns the number of failures of a task so far; stops on command are not counted.
+    pub(super) fn failure_count(&self, task: u32) -> u32 {
         self.retries.get(&task).map_or(0, |retry| retry.failures)
     }
 
--- a/src/scheduler/placement_requests.rs
+++ b/src/scheduler/placement_requests.rs
@@ -7,6 +7,7 @@
 use crate::jobs::LiveJob;
 use crate::placement::{Basket, PlacementRequest, ScaleOutPolicy, ZoneLimits};
 use crate::scheduler::Scheduler;
+use crate::scheduler::job_progress::JobProgress;
 use crate::scheduler::planning::{FleetView, waiting_cause};
 use crate::wire::{JobKind, Priority};
 use crate::workers::machine::{Machine, MachineState};
@@ -162,7 +163,6 @@
         job: &LiveJob,
         context: &RequestContext<'_>,
     ) -> Option<()> {
-        let (fleet, now) = (context.fleet, context.now);
         let spec = &job.spec;
         let progress = self.jobs.progress.get(id)?;
         // Tens of thousands of tasks may be placed, so they are visited only if their zones matter.
@@ -177,19 +177,8 @@
                 request.zone = Some(zone);
             }
         }
-        self.exclude_suspected_machines(request, id, &progress.failures, now);
-        let waited =
-            progress.first_seen.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        if request.scale_out == ScaleOutPolicy::Spot
-            && waited >= BEST_EFFORT_RENTAL_DELAY
-            && !fleet.has_machine_for(request)
-        {
-            request.scale_out = ScaleOutPolicy::Any;
-        }
-        if !progress.failures.may_rent(now) {
-            // A trial of a job that fails everywhere uses existing free capacity first.
-            request.scale_out = ScaleOutPolicy::Nothing;
-        }
+        self.exclude_suspected_machines(request, id, &progress.failures, context.now);
+        adjust_scale_out(request, progress, context);
         Some(())
     }
 
@@ -283,6 +272,24 @@
     }
 }
 
+/// Adjusts what may be rented for a request to how long its job or its job's next trial has waited.
+fn adjust_scale_out(
+    request: &mut PlacementRequest,
+    progress: &JobProgress,
+    context: &RequestContext<'_>,
+) {
+    if request.scale_out == ScaleOutPolicy::Spot
+        && progress.waited(context.now) >= BEST_EFFORT_RENTAL_DELAY
+        && !context.fleet.has_machine_for(request)
+    {
+        request.scale_out = ScaleOutPolicy::Any;
+    }
+    if !progress.failures.may_rent(context.now) {
+        // A trial of a job that fails everywhere uses existing free capacity first.
+        request.scale_out = ScaleOutPolicy::Nothing;
+    }
+}
+
 /// Returns whether a previous leader may have started tasks of the request that no heartbeat has
 /// shown yet.
 fn may_run_on_unconfirmed(request: &PlacementRequest, fleet: &FleetView) -> bool {
--- a/src/scheduler/planning/jobs_view.rs
+++ b/src/scheduler/planning/jobs_view.rs
@@ -9,7 +9,6 @@
 use crate::scheduler::Scheduler;
 use crate::store::Cache;
 use crate::wire::JobKind;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// The live jobs as a pass sees them.
@@ -92,8 +91,7 @@
         let progress = &self.jobs.progress[id];
         let started = job.completed_count() + progress.placed.len() as u64;
         let team_limit = self.settings.platform.params.teams[team].limit();
-        let waiting_time =
-            progress.first_seen.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let waiting_time = progress.waited(now);
         let (deadlines, missed_deadlines) = self.due_objectives(id, job, now);
         let slos = self.settings.start_objectives(&spec.class).count() + deadlines;
         let missed_slos =
--- a/src/scheduler/reconciliation.rs
+++ b/src/scheduler/reconciliation.rs
@@ -324,9 +324,7 @@
             let machine = self.fleet.machines.get(&placed.machine)?;
             let key = (TaskId { job: job.clone(), index }, placed.attempt);
             let entry = machine.attempts.get(&key)?;
-            (entry.state == TaskState::Running
-                && now >= entry.running_since? + SUCCESS_AFTER_RUNNING)
-                .then_some(())
+            entry.is_running_for(SUCCESS_AFTER_RUNNING, now).then_some(())
         };
         let undecided =
             self.jobs.progress.iter().filter(|(_, progress)| progress.failures.is_undecided());
@@ -341,10 +339,10 @@
             self.record_success(&id, now);
         }
         self.forget_refuted_failures(now);
-        self.clear_refuted_machines(now);
         if !summary.has_failing_machine {
             return;
         }
+        self.clear_refuted_machines(now);
         for machine in
             self.fleet.machines.values_mut().filter(|m| m.failed_jobs.len() >= MACHINE_FAULT_JOBS)
         {
--- a/src/scheduler/suspected_machines.rs
+++ b/src/scheduler/suspected_machines.rs
@@ -13,13 +13,6 @@
 use crate::workers::machine::{Machine, PlacedAttempt};
 use tokio::time::Instant;
 
-/// A task that runs well on a machine on which tasks of its job failed before it was placed.
-struct RefutedFailure {
-    job: JobId,
-    machine: MachineId,
-    placed_at: Instant,
-}
-
 impl Scheduler {
     /// Excludes the machines that a job avoids, and those on which a task that was placed after the last failure has
     /// not succeeded yet. The other suspected machines are the request's last resort.
@@ -47,43 +40,33 @@
     /// Ends the suspicion of machines on which tasks that were placed after the last failure have run for
     /// [`SUCCESS_AFTER_RUNNING`].
     pub(super) fn forget_refuted_failures(&mut self, now: Instant) {
-        for RefutedFailure { job, machine, placed_at } in self.refuted_failures(now) {
-            self.record_success_on(&job, &machine, placed_at);
+        let machines = &self.fleet.machines;
+        for (job, progress) in &mut self.jobs.progress {
+            progress.failures.forget_failures_if(|failure| {
+                machines.get(&failure.machine).is_some_and(|machine| {
+                    let mut attempts = machine.attempts.range(attempts_of(job));
+                    attempts.any(|(_, attempt)| {
+                        attempt.placed_at > failure.failed_at
+                            && attempt.is_running_for(SUCCESS_AFTER_RUNNING, now)
+                    })
+                })
+            });
         }
     }
 
-    fn refuted_failures(&self, now: Instant) -> Vec<RefutedFailure> {
-        let mut refuted = Vec::new();
-        for (job, progress) in &self.jobs.progress {
-            for failure in progress.failures.machine_failures() {
-                let Some(machine) = self.fleet.machines.get(&failure.machine) else { continue };
-                let runs_well = |attempt: &&PlacedAttempt| {
-                    attempt.placed_at > failure.failed_at
-                        && attempt.state == TaskState::Running
-                        && attempt.running_since.is_some_and(|at| now >= at + SUCCESS_AFTER_RUNNING)
-                };
-                let mut attempts = machine.attempts.range(attempts_of(job));
-                if let Some((_, attempt)) = attempts.find(|(_, attempt)| runs_well(attempt)) {
-                    refuted.push(RefutedFailure {
-                        job: job.clone(),
-                        machine: failure.machine.clone(),
-                        placed_at: attempt.placed_at,
-                    });
-                }
-            }
+    /// Ends the suspicions that an attempt's completion on a machine refutes: its job's, if the attempt was placed after
+    /// the last failure there, and that the machine is faulty, if it was placed as a trial.
+    pub(super) fn record_success_on(&mut self, machine: &MachineId, attempt: &TaskAttempt) {
+        let Some(machine) = self.fleet.machines.get_mut(machine) else { return };
+        let Some(entry) = machine.attempts.get(attempt) else { return };
+        let placed_at = entry.placed_at;
+        if machine.faulty && machine.is_trial(entry) {
+            clear_faults(machine);
         }
-        refuted
-    }
-
-    /// Records that a task of a job that was placed on a machine at `placed_at` succeeded there.
-    pub(super) fn record_success_on(
-        &mut self,
-        job: &JobId,
-        machine: &MachineId,
-        placed_at: Instant,
-    ) {
-        if let Some(progress) = self.jobs.progress.get_mut(job) {
-            progress.failures.record_success_on(machine, placed_at);
+        if let Some(progress) = self.jobs.progress.get_mut(&attempt.0.job) {
+            progress.failures.forget_failures_if(|failure| {
+                failure.machine == machine.id && placed_at > failure.failed_at
+            });
         }
     }
 
@@ -97,15 +80,6 @@
             }
         }
     }
-
-    /// Ends the suspicion of a faulty machine if an attempt that completed there was placed as a trial.
-    pub(super) fn clear_machine_tried_by(&mut self, machine: &MachineId, attempt: &TaskAttempt) {
-        let Some(machine) = self.fleet.machines.get_mut(machine) else { return };
-        let attempt = machine.attempts.get(attempt);
-        if machine.faulty && attempt.is_some_and(|attempt| machine.is_trial(attempt)) {
-            clear_faults(machine);
-        }
-    }
 }
 
 fn clear_faults(machine: &mut Machine) {
--- a/src/scheduler/task_exit.rs
+++ b/src/scheduler/task_exit.rs
@@ -122,12 +122,7 @@
         progress.completing.insert(exit.task.index);
         self.jobs.completing.insert(job.clone());
         self.record_success(job, now);
-        let machine = self.fleet.machines.get(&exit.machine);
-        let entry = machine.and_then(|machine| machine.attempts.get(&exit.key()));
-        if let Some(placed_at) = entry.map(|entry| entry.placed_at) {
-            self.record_success_on(job, &exit.machine, placed_at);
-        }
-        self.clear_machine_tried_by(&exit.machine, &exit.key());
+        self.record_success_on(&exit.machine, &exit.key());
     }
 
     /// Marks the exit as handled and returns whether the task was preempted for a job of higher priority. If the task
@@ -149,8 +144,7 @@
     fn back_off(&mut self, exit: &TaskExit, preempted: bool, now: Instant) {
         let progress = self.jobs.progress.entry(exit.task.job.clone()).or_default();
         progress.preemptions += u32::from(preempted);
-        let previous_failures =
-            progress.retries.get(&exit.task.index).map_or(0, |retry| retry.failures);
+        let previous_failures = progress.failure_count(exit.task.index);
         let failures = previous_failures + u32::from(!exit.was_stopped());
         let not_before = now + exit.retry_backoff(previous_failures);
         progress.retries.insert(exit.task.index, RetryBackoff { not_before, failures });
@@ -166,8 +160,7 @@
             machine.failed_jobs.insert(job.clone());
             machine.last_failure = Some(now);
             let entry = machine.attempts.get(&exit.key());
-            let running_since = entry.and_then(|entry| entry.running_since);
-            ran_long = running_since.is_some_and(|at| now >= at + SUCCESS_AFTER_RUNNING);
+            ran_long = entry.is_some_and(|entry| entry.has_run_for(SUCCESS_AFTER_RUNNING, now));
         }
         let Some(progress) = self.jobs.progress.get_mut(job) else { return };
         let was_faulty = progress.failures.is_job_faulty();
--- a/src/scheduler/tests/best_effort.rs
+++ b/src/scheduler/tests/best_effort.rs
@@ -1,20 +1,15 @@
 //! Limits on best-effort work: each ends by itself.
 
-use super::simulated_workers::SimulatedCluster;
+use super::simulated_workers::{MAX_WAIT, SimulatedCluster};
 use crate::jobs::fixtures::job_spec;
 use crate::wire::{JobSpec, Priority};
 use std::time::Duration;
 
-/// Time within which a task has to start beside free capacity.
-const MAX_WAIT: Duration = Duration::from_secs(90);
-
 /// Urgent tasks that end every few seconds kept a best-effort job off the free part of the machine as long as they came.
 #[test]
 fn best_effort_job_starts_beside_urgent_tasks_that_end_all_the_time() {
     for run_time in [1, 2, 3, 4] {
-        let mut cluster = SimulatedCluster::new();
-        cluster.add_worker("a", "i-1");
-        cluster.forbid_rentals();
+        let mut cluster = SimulatedCluster::of(&[("a", "i-1")]);
         let urgent = JobSpec { cpus: 6.0, ram_gb: 6.0, spot: false, ..job_spec("wk-1", 400) };
         let urgent = cluster.leader.accept(urgent);
         cluster.run_times.insert(urgent, Duration::from_secs(run_time));
--- a/src/scheduler/tests/gangs.rs
+++ b/src/scheduler/tests/gangs.rs
@@ -10,9 +10,7 @@
 #[test]
 fn gang_that_exceeds_its_teams_limit_starts_later_as_a_whole() {
     for gang_size in 2..=3 {
-        let mut cluster = SimulatedCluster::new();
-        cluster.add_worker("a", "i-1");
-        cluster.forbid_rentals();
+        let mut cluster = SimulatedCluster::of(&[("a", "i-1")]);
         let settings = Arc::make_mut(&mut cluster.leader.scheduler.settings);
         settings.platform.params.teams[0].cpus_max = 13.0;
         let spec = JobSpec { cpus: 6.0, spot: false, ..job_spec("wk-1", 1) };
--- a/src/scheduler/tests/holds.rs
+++ b/src/scheduler/tests/holds.rs
@@ -1,6 +1,5 @@
 //! Short holds on starts and rentals: each ends by itself.
 
-use super::fixture::TestLeader;
 use super::simulated_workers::SimulatedCluster;
 use crate::ids::{JobId, MachineId};
 use crate::jobs::fixtures::job_spec;
@@ -11,8 +10,13 @@
 /// Time within which each of these holds has to end.
 const MAX_HOLD: Duration = Duration::from_secs(15);
 
-fn has_requested_machines(leader: &TestLeader) -> bool {
-    !leader.cloud.pending_rentals().is_empty()
+/// Checks that machines for a new job are not requested at once, but within [`MAX_HOLD`].
+fn assert_rents_after_a_hold(mut cluster: SimulatedCluster) {
+    cluster.leader.job("wk-1", JobKind::Service, 1);
+    cluster.step();
+    assert_eq!(cluster.requested_machines(), 0);
+    cluster.run_for(MAX_HOLD);
+    assert!(cluster.requested_machines() > 0);
 }
 
 /// A new leader waits for the cloud's list before it rents machines, but not for ever.
@@ -20,11 +24,7 @@
 fn new_leader_rents_machines_although_the_cloud_lists_none() {
     let mut cluster = SimulatedCluster::new();
     cluster.keep_no_warm_capacity();
-    cluster.leader.job("wk-1", JobKind::Service, 1);
-    cluster.step();
-    assert!(!has_requested_machines(&cluster.leader));
-    cluster.run_for(MAX_HOLD);
-    assert!(has_requested_machines(&cluster.leader));
+    assert_rents_after_a_hold(cluster);
 }
 
 /// A pool that refused a rental is asked again.
@@ -35,19 +35,13 @@
     cluster.leader.scheduler.fleet.listed_once = true;
     cluster.run_for(MAX_HOLD);
     cluster.refuse_rentals(&[true, false]);
-    cluster.leader.job("wk-1", JobKind::Service, 1);
-    cluster.step();
-    assert!(!has_requested_machines(&cluster.leader));
-    cluster.run_for(MAX_HOLD);
-    assert!(has_requested_machines(&cluster.leader));
+    assert_rents_after_a_hold(cluster);
 }
 
 /// A machine that is emptied but keeps a task takes others again.
 #[test]
 fn machine_that_was_not_emptied_takes_tasks_again() {
-    let mut cluster = SimulatedCluster::new();
-    cluster.add_worker("a", "i-1");
-    cluster.forbid_rentals();
+    let mut cluster = SimulatedCluster::of(&[("a", "i-1")]);
     cluster.leader.job("wk-1", JobKind::Service, 1);
     cluster.run_for(Duration::from_secs(5));
     let now = cluster.leader.now;
@@ -63,9 +57,7 @@
 /// A machine takes tasks again once its worker no longer reports a notice.
 #[test]
 fn machine_whose_reclaim_notice_was_withdrawn_takes_tasks_again() {
-    let mut cluster = SimulatedCluster::new();
-    cluster.add_worker("a", "i-1");
-    cluster.forbid_rentals();
+    let mut cluster = SimulatedCluster::of(&[("a", "i-1")]);
     cluster.run_for(Duration::from_secs(5));
     cluster.notice_s = Some(60.0);
     cluster.step();
--- a/src/scheduler/tests/simulated_workers.rs
+++ b/src/scheduler/tests/simulated_workers.rs
@@ -18,6 +18,9 @@
 /// Run time after which a task fails that is to fail.
 const FAILS_AFTER: Duration = STEP;
 
+/// Time within which a task has to start beside free capacity once the trouble is over.
+pub(super) const MAX_WAIT: Duration = Duration::from_secs(90);
+
 /// A worker and the tasks that it has.
 struct Worker {
     name: &'static str,
@@ -64,6 +67,14 @@
         }
     }
 
+    /// Returns a cluster with a worker of each zone and name, and no machine to rent.
+    pub(super) fn of(workers: &[(&'static str, &'static str)]) -> SimulatedCluster {
+        let mut cluster = SimulatedCluster::new();
+        workers.iter().for_each(|(zone, name)| cluster.add_worker(zone, name));
+        cluster.forbid_rentals();
+        cluster
+    }
+
     pub(super) fn add_worker(&mut self, zone: &'static str, name: &'static str) {
         self.workers.push(Worker { name, zone, tasks: Vec::new() });
     }
@@ -95,6 +106,16 @@
         drains.insert(drain_key(record.kind, name), Versioned::new(record, Revision(9)));
     }
 
+    /// Returns the number of machines that are requested from the cloud.
+    pub(super) fn requested_machines(&self) -> u32 {
+        self.leader.cloud.pending_rentals().iter().map(|rental| rental.count).sum()
+    }
+
+    /// Returns whether the leader has found a machine faulty.
+    pub(super) fn is_found_faulty(&self, name: &str) -> bool {
+        self.leader.scheduler.fleet.machines[&MachineId::new(name)].faulty
+    }
+
     /// Returns the number of tasks that run on a worker.
     pub(super) fn running_on(&self, name: &str) -> usize {
         let workers = self.workers.iter().filter(|worker| worker.name == name);
--- a/src/scheduler/tests/suspected_machines.rs
+++ b/src/scheduler/tests/suspected_machines.rs
@@ -1,7 +1,7 @@
 //! Suspected machines: no task waits for ever beside a machine on which tasks of its job failed.
 
-use super::simulated_workers::{STEP, SimulatedCluster};
-use crate::ids::{JobId, MachineId, TaskId};
+use super::simulated_workers::{MAX_WAIT, STEP, SimulatedCluster};
+use crate::ids::{JobId, TaskId};
 use crate::jobs::fixtures::job_spec;
 use crate::scheduler::reconciliation::SUCCESS_AFTER_RUNNING;
 use crate::wire::{JobKind, JobSpec, Priority};
@@ -9,8 +9,6 @@
 use crate::workers::machine::FAULTY_MACHINE_AVOIDANCE;
 use std::time::Duration;
 
-/// Time within which a task has to start beside free capacity once the trouble is over.
-const MAX_WAIT: Duration = Duration::from_secs(90);
 /// Time for which the simulated days go on; all failures happen well before.
 const DAY: Duration = Duration::from_secs(400);
 
@@ -169,9 +167,7 @@
 #[test]
 fn job_that_always_fails_tries_its_last_resort_once_per_avoidance() {
     for workers in 1..=2 {
-        let mut cluster = SimulatedCluster::new();
-        ["i-1", "i-2"][..workers].iter().for_each(|name| cluster.add_worker("a", name));
-        cluster.forbid_rentals();
+        let mut cluster = SimulatedCluster::of(&[("a", "i-1"), ("a", "i-2")][..workers]);
         let job = cluster.leader.job("wk-1", JobKind::Array, 4);
         for index in 0..4 {
             cluster.failures_left.insert(TaskId { job: job.clone(), index }, u32::MAX);
@@ -186,9 +182,7 @@
 /// A task that always fails must not be the only one that is tried: the others of its job would wait for ever.
 #[test]
 fn tasks_of_a_job_are_tried_in_turn() {
-    let mut cluster = SimulatedCluster::new();
-    cluster.add_worker("a", "i-1");
-    cluster.forbid_rentals();
+    let mut cluster = SimulatedCluster::of(&[("a", "i-1")]);
     let job = cluster.leader.job("wk-1", JobKind::Array, 12);
     cluster.run_times.insert(job.clone(), Duration::from_secs(4));
     cluster.failures_left.insert(TaskId { job: job.clone(), index: 0 }, u32::MAX);
@@ -198,10 +192,7 @@
 
 /// Returns a cluster in which "i-1", the only machine of zone "a", runs a service and was found faulty by two jobs.
 fn cluster_with_faulty_machine() -> SimulatedCluster {
-    let mut cluster = SimulatedCluster::new();
-    cluster.add_worker("a", "i-1");
-    cluster.add_worker("b", "i-2");
-    cluster.forbid_rentals();
+    let mut cluster = SimulatedCluster::of(&[("a", "i-1"), ("b", "i-2")]);
     let service = JobSpec { kind: JobKind::Service, spot: false, ..job_spec("wk-0", 1) };
     cluster.leader.accept(JobSpec { zone: Some("a".into()), ..service });
     cluster.run_for(Duration::from_secs(5));
@@ -212,7 +203,7 @@
     }
     cluster.run_for(Duration::from_secs(20));
     assert_eq!(cluster.completed.len(), 2);
-    assert!(cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
+    assert!(cluster.is_found_faulty("i-1"));
     cluster
 }
 
@@ -233,16 +224,13 @@
         cluster.step();
         assert!(cluster.leader.now < cluster.last_failure + MAX_WAIT, "{:?}", cluster.completed);
     }
-    assert!(!cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
+    assert!(!cluster.is_found_faulty("i-1"));
 }
 
 /// A machine that fails some tasks must not be cleared by one that it got before it was found faulty.
 #[test]
 fn task_from_before_the_verdict_does_not_clear_a_faulty_machine() {
-    let mut cluster = SimulatedCluster::new();
-    cluster.add_worker("a", "i-1");
-    cluster.add_worker("b", "i-2");
-    cluster.forbid_rentals();
+    let mut cluster = SimulatedCluster::of(&[("a", "i-1"), ("b", "i-2")]);
     cluster.run_for(Duration::from_secs(5));
     for id in ["wk-1", "wk-2"] {
         let job = cluster.leader.job(id, JobKind::Array, 1);
@@ -257,7 +245,7 @@
     let service = cluster.leader.accept(JobSpec { zone: Some("a".into()), ..service });
     cluster.run_for(Duration::from_secs(30));
     assert!(cluster.is_served(&service, 1));
-    assert!(cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
+    assert!(cluster.is_found_faulty("i-1"));
 }
 
 /// A machine that remains faulty gets one task per avoidance, however many wait, and none that fits elsewhere.
@@ -274,12 +262,7 @@
     let trials = DAY.div_duration_f64(FAULTY_MACHINE_AVOIDANCE).ceil() as u32;
     assert!((2..=trials).contains(&starts_of(&job)), "{}", starts_of(&job));
     assert_eq!(starts_of(&elsewhere), 2);
-    assert!(cluster.leader.scheduler.fleet.machines[&MachineId::new("i-1")].faulty);
-}
-
-/// Returns the number of machines that are requested from the cloud.
-fn requested_machines(cluster: &SimulatedCluster) -> u32 {
-    cluster.leader.cloud.pending_rentals().iter().map(|rental| rental.count).sum()
+    assert!(cluster.is_found_faulty("i-1"));
 }
 
 /// A job on trial never got a machine again once those on which it had failed were returned, because a trial rented none.
@@ -304,20 +287,17 @@
         }
         cluster.run_for(Duration::from_secs(60));
         assert!(cluster.leader.scheduler.jobs.progress[&job].failures.is_job_faulty());
-        assert_eq!(requested_machines(&cluster), 0);
+        assert_eq!(cluster.requested_machines(), 0);
         cluster.return_workers();
         cluster.run_for(MAX_WAIT);
-        assert_eq!(requested_machines(&cluster), machines_needed, "{kind:?}");
+        assert_eq!(cluster.requested_machines(), machines_needed, "{kind:?}");
     }
 }
 
 /// A drain stopped a replica although its service avoided the only other machine, so that the replica was down meanwhile.
 #[test]
 fn drain_moves_no_replica_towards_a_machine_that_its_service_avoids() {
-    let mut cluster = SimulatedCluster::new();
-    cluster.add_worker("a", "i-1");
-    cluster.add_worker("a", "i-2");
-    cluster.forbid_rentals();
+    let mut cluster = SimulatedCluster::of(&[("a", "i-1"), ("a", "i-2")]);
     let spec = JobSpec { kind: JobKind::Service, spot: false, ..job_spec("wk-1", 2) };
     let job = cluster.leader.accept(spec);
     cluster.failures_left.insert(TaskId { job: job.clone(), index: 0 }, 1);
@@ -338,9 +318,7 @@
 #[test]
 fn only_jobs_that_did_well_preempt_on_their_last_resort() {
     for did_well in [true, false] {
-        let mut cluster = SimulatedCluster::new();
-        cluster.add_worker("a", "i-1");
-        cluster.forbid_rentals();
+        let mut cluster = SimulatedCluster::of(&[("a", "i-1")]);
         let spec =
             JobSpec { kind: JobKind::Service, cpus: 6.0, spot: false, ..job_spec("wk-1", 1) };
         let service = cluster.leader.accept(spec);
--- a/src/workers/failure_attribution.rs
+++ b/src/workers/failure_attribution.rs
@@ -85,11 +85,10 @@
         was_faulty
     }
 
-    /// Records that a task that was placed on a machine at `placed_at` succeeded there. Failures before that no longer
-    /// keep the job off the machine.
-    pub fn record_success_on(&mut self, machine: &MachineId, placed_at: Instant) {
-        self.machine_failures
-            .retain(|failure| failure.machine != *machine || failure.failed_at >= placed_at);
+    /// Forgets the failures that tasks which were placed later have refuted. They no longer keep the job off their
+    /// machines.
+    pub fn forget_failures_if(&mut self, is_refuted: impl Fn(&MachineFailure) -> bool) {
+        self.machine_failures.retain(|failure| !is_refuted(failure));
     }
 
     /// Returns whether one of its tasks has succeeded, so that a failure is attributed to the machine.
--- a/src/workers/machine/attempt.rs
+++ b/src/workers/machine/attempt.rs
@@ -86,6 +86,16 @@
         }
     }
 
+    /// Returns whether it began to run at least `time` ago, whether it still runs or not.
+    pub fn has_run_for(&self, time: Duration, now: Instant) -> bool {
+        self.running_since.is_some_and(|at| now >= at + time)
+    }
+
+    /// Returns whether it is running and has been for at least `time`.
+    pub fn is_running_for(&self, time: Duration, now: Instant) -> bool {
+        self.state == TaskState::Running && self.has_run_for(time, now)
+    }
+
     /// Returns the time for which it was observed to run, if its start was observed.
     pub(super) fn observed_run_time(&self) -> Option<Duration> {
         Some(self.last_seen_running?.saturating_duration_since(self.observed_start?))
--- a/src/workers/machine/fault.rs
+++ b/src/workers/machine/fault.rs
@@ -24,11 +24,8 @@
 
     /// Returns whether such an attempt has been running for `long_enough`.
     pub fn has_trial_run_for(&self, long_enough: Duration, now: Instant) -> bool {
-        let ran = |attempt: &&PlacedAttempt| {
-            attempt.state == TaskState::Running
-                && attempt.running_since.is_some_and(|at| now >= at + long_enough)
-        };
-        self.attempts.values().filter(ran).any(|attempt| self.is_trial(attempt))
+        let mut attempts = self.attempts.values();
+        attempts.any(|attempt| self.is_trial(attempt) && attempt.is_running_for(long_enough, now))
     }
 
     /// Forgets all failures, because a task that was placed long enough after the last one succeeded.
