Where a request may preempt is part of it, not looked up again for each job

Work done twice: each pass looked up every waiting job's progress a second time, only to learn whether its failures restrict preemption. The request is made from that progress, so it carries the restriction, as it does what may be rented.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -22,8 +22,8 @@
 pub use basket::Basket;
 pub use model::{
     Bin, BinIndex, HeldBack, Images, MachineTypeOffer, Obstacle, PlacementInput, PlacementPlan,
-    PlacementRequest, PlannedStart, RequestIndex, RequestTasks, ScaleOutPolicy, ZoneLimits,
-    max_copies,
+    PlacementRequest, PlannedStart, PreemptionPolicy, RequestIndex, RequestTasks, ScaleOutPolicy,
+    ZoneLimits, max_copies,
 };
 pub use packing::plan;
 pub use service_order::{QueuedJob, sort_by_service_order};
--- a/src/placement/model.rs
+++ b/src/placement/model.rs
@@ -155,6 +155,8 @@
     pub slo_slack_s: Option<f64>,
     /// Restriction on the machines that may be rented for the tasks.
     pub scale_out: ScaleOutPolicy,
+    /// Restriction on the preemption of others for the tasks.
+    pub preemption: PreemptionPolicy,
 }
 
 impl PlacementRequest {
@@ -187,6 +189,17 @@
     Nothing,
 }
 
+/// Restriction on the preemption of others for a request, beyond that of its priority.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PreemptionPolicy {
+    /// On all machines.
+    Anywhere,
+    /// On all but those that are the request's last resort.
+    NotOnLastResort,
+    /// On no machine.
+    Nowhere,
+}
+
 /// Offer of machines of one type in one zone, either spot or on-demand.
 #[derive(Debug, Clone)]
 pub struct MachineTypeOffer {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,8 +1,8 @@
 use super::scale_out::FLEET_PER_RENTAL_NEAR_LIMIT;
 use super::{
     Basket, Bin, BinIndex, Images, MachineTypeOffer, PlacementInput, PlacementRequest,
-    PlannedStart, QueuedJob, RequestIndex, RequestTasks, ScaleOutPolicy, ZoneLimits, plan,
-    sort_by_service_order,
+    PlannedStart, PreemptionPolicy, QueuedJob, RequestIndex, RequestTasks, ScaleOutPolicy,
+    ZoneLimits, plan, sort_by_service_order,
 };
 use crate::ids::{Amount, MachineTypeId, TeamId, ZoneId};
 use crate::wire::Priority;
@@ -203,6 +203,7 @@
         start_slo_s: None,
         slo_slack_s: None,
         scale_out: if random.random() { ScaleOutPolicy::Any } else { ScaleOutPolicy::Spot },
+        preemption: PreemptionPolicy::Anywhere,
     }
 }
 
@@ -254,6 +255,7 @@
         start_slo_s: None,
         slo_slack_s: None,
         scale_out: ScaleOutPolicy::Any,
+        preemption: PreemptionPolicy::Anywhere,
     }
 }
 
--- a/src/scheduler/placement_requests.rs
+++ b/src/scheduler/placement_requests.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::{Amount, JobId, MachineTypeId, TeamId, ZoneId};
 use crate::jobs::LiveJob;
-use crate::placement::{Basket, PlacementRequest, ScaleOutPolicy, ZoneLimits};
+use crate::placement::{Basket, PlacementRequest, PreemptionPolicy, ScaleOutPolicy, ZoneLimits};
 use crate::scheduler::Scheduler;
 use crate::scheduler::job_progress::JobProgress;
 use crate::scheduler::planning::{FleetView, waiting_cause};
@@ -76,6 +76,7 @@
             start_slo_s: self.settings.tightest_start_objective(&spec.class),
             slo_slack_s: None,
             scale_out: if is_best_effort { ScaleOutPolicy::Spot } else { ScaleOutPolicy::Any },
+            preemption: PreemptionPolicy::Anywhere,
         })
     }
 
@@ -155,7 +156,7 @@
     }
 
     /// Restricts a request by where the job's tasks run and where they failed, and sets what may be
-    /// rented for it.
+    /// rented and preempted for it.
     fn apply_progress(
         &self,
         request: &mut PlacementRequest,
@@ -179,6 +180,7 @@
         }
         self.exclude_suspected_machines(request, id, &progress.failures, context.now);
         adjust_scale_out(request, progress, context);
+        request.preemption = progress.failures.preemption_policy();
         Some(())
     }
 
@@ -259,6 +261,7 @@
                 start_slo_s: None,
                 slo_slack_s: None,
                 scale_out: ScaleOutPolicy::Any,
+                preemption: PreemptionPolicy::Nowhere,
             });
         }
     }
--- a/src/scheduler/planning/decision.rs
+++ b/src/scheduler/planning/decision.rs
@@ -39,10 +39,7 @@
         let offers = if fleet.rental.allowed { self.offers(&fleet, now) } else { Vec::new() };
         let machines = fleet.machines.bins.len() as f64;
         let heavy_limit = ((machines * self.settings.operator.heavy_cap) as usize).max(1);
-        let requests = demand.requests.iter();
-        let tasks: Vec<WaitingTasks> = requests
-            .map(|job| WaitingTasks::of(job, &self.jobs.progress[&job.job].failures))
-            .collect();
+        let tasks: Vec<WaitingTasks> = demand.requests.iter().map(WaitingTasks::of).collect();
         let requests = demand.requests.into_iter().map(|job| job.request);
         let placement = plan(PlacementInput {
             bins: fleet.machines.bins,
--- a/src/scheduler/planning/demand.rs
+++ b/src/scheduler/planning/demand.rs
@@ -6,13 +6,12 @@
 use super::{FleetView, JobsView, waiting_cause};
 use crate::ids::{JobId, TeamId};
 use crate::jobs::LiveJob;
-use crate::placement::{PlacementRequest, QueuedJob, ScaleOutPolicy, max_copies};
+use crate::placement::{PlacementRequest, PreemptionPolicy, QueuedJob, ScaleOutPolicy, max_copies};
 use crate::scheduler::Scheduler;
 use crate::scheduler::fair_share::FairShareRank;
 use crate::scheduler::placement_requests::RequestContext;
 use crate::store::Cache;
 use crate::wire::{JobKind, Priority};
-use crate::workers::failure_attribution::FailureAttribution;
 use tokio::time::Instant;
 
 /// A job's request for capacity.
@@ -50,16 +49,15 @@
 }
 
 impl WaitingTasks {
-    /// Returns all tasks of a request as waiting. A job that fails everywhere preempts nothing, and
-    /// one of which no task has done well yet preempts nothing where one of them failed.
-    pub(super) fn of(job: &JobRequest, failures: &FailureAttribution) -> WaitingTasks {
+    /// Returns all tasks of a request as waiting.
+    pub(super) fn of(job: &JobRequest) -> WaitingTasks {
         let request = &job.request;
         let may_preempt = request.priority <= Priority::High
             && request.scale_out == ScaleOutPolicy::Any
-            && !failures.is_job_faulty();
+            && request.preemption != PreemptionPolicy::Nowhere;
         let mut preemptor = may_preempt.then(|| request.clone());
         if let Some(preemptor) = preemptor.as_mut()
-            && !failures.may_preempt_on_last_resort()
+            && request.preemption == PreemptionPolicy::NotOnLastResort
         {
             preemptor.excluded_machines.extend(&request.last_resort_machines);
         }
--- a/src/workers/failure_attribution.rs
+++ b/src/workers/failure_attribution.rs
@@ -10,6 +10,7 @@
 
 use crate::constants::{INITIAL_TASK_BACKOFF, MACHINE_FAULT_JOBS, MAX_TASK_BACKOFF};
 use crate::ids::MachineId;
+use crate::placement::PreemptionPolicy;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -128,9 +129,16 @@
         self.ran_before_failure = true;
     }
 
-    /// Returns whether others may be preempted for its tasks where one of them failed. A faulty job must not do that.
-    pub fn may_preempt_on_last_resort(&self) -> bool {
-        self.has_succeeded || self.ran_before_failure
+    /// Returns where others may be preempted for its tasks. A job whose failures are attributed to itself preempts
+    /// nothing, and one of which no task has done well yet preempts nothing where one of them failed.
+    pub fn preemption_policy(&self) -> PreemptionPolicy {
+        if self.is_job_faulty() {
+            PreemptionPolicy::Nowhere
+        } else if self.has_succeeded || self.ran_before_failure {
+            PreemptionPolicy::Anywhere
+        } else {
+            PreemptionPolicy::NotOnLastResort
+        }
     }
 
     /// Returns the machines on which its tasks failed and none that was placed later succeeded.
